Let a server that reports a jam rest until what waits there is served

A trace of all 40 routers shows 20 to 25 requests waiting at nearly every cache server, service times of 1 to 2.5 s, all attempts there ending as full or, after 0.63 s, as time-outs; the fleet bears about 25 requests a second and server, yet answers almost none in time, since work that nobody waits for is still done.

Ruled out: the origin (30 ms, nothing waiting), descriptors (97 of 384), processor time (0.28 of a core at most), failed connections (none).

Lines at fault: a server is judged by own attempts in flight, and Server.limit never falls below 1. A router sends 23 requests a second to 60 servers, so its own count is 0 or 1; 40 routers with a limit of 1 are 40 in flight at a server of one core. Each answer, refusals too, carries a report of the queue, which was thrown away in net/servers.py.

Choice: reports are read and handed on as part of the outcome; when the delay that one tells is over the shortest aim, this router leaves the server alone for that long, jittered. A time-out counts as a report of its own. It gives up some hits: a key goes to the next server meanwhile, and to two at the most before the request is refused.

--- a/brackenwalk/interface.py
+++ b/brackenwalk/interface.py
@@ -96,6 +96,7 @@
     may_cancel: bool = False
     max_attempts: int = 1
     siblings: int = 1  # routers in all
+    report: tuple[str, ...] = ()  # names of the values in a load report, in their order
     connection_idle: float = 60.0  # after this a host closes an idle connection by itself
     dial_timeout: float = 0.25  # a connection that is not up by then has failed
     max_retry_after: float = 0.0  # longest time to come back that clients honour
@@ -158,6 +159,14 @@
     attempt: int
 
 
+@dataclass(slots=True, frozen=True)
+class Load:
+    """What a server reports of itself, a little late and noisy."""
+
+    service: float  # its time for a request lately, without waiting
+    waiting: float  # requests that wait for it
+
+
 @dataclass(slots=True, frozen=True)
 class Outcome:
     """The end of an attempt; `closed` when the request itself has ended."""
@@ -167,6 +176,7 @@
     status: Status
     closed: bool = False
     latency: float = 0.0
+    load: Load | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/brackenwalk/net/host.py
+++ b/brackenwalk/net/host.py
@@ -11,21 +11,35 @@
 import time
 from collections import deque
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 
 from brackenwalk import interface as api
 from brackenwalk.net.command import Command, CommandError
 from brackenwalk.net.pool import Exchange, Pool
 from brackenwalk.policy import Router
+from brackenwalk.settings import read_load
 
 # before the client's deadline, which counts from its send: measured, the way takes 1.3 ms at most in each
 # direction and this process 1.4 ms at the 99th percentile; the rest is for a core that others keep busy
 DEADLINE_MARGIN = 0.02
 REMEMBER = 2.0  # seconds at least for which the id of an ended request is not taken again
 MAX_HINT = 12  # digits
+MAX_REPORT = 256  # bytes
 log = logging.getLogger(__name__)
 
 
+def read_report(text: bytes, names: tuple[str, ...]) -> api.Load | None:
+    """A load report as it stands in an answer; None where it can't be read."""
+    values: dict[str, float] = {}
+    for pair in text[:MAX_REPORT].decode("latin-1").split(","):
+        name, _, value = pair.partition("=")
+        if name in names:
+            with suppress(ValueError):
+                values[name] = float(value)
+    return read_load(values)
+
+
 class Clock:
     """Unix time, read once; from then on it never jumps."""
 
@@ -264,8 +278,8 @@
             loop = asyncio.get_running_loop()
             attempt.timer = loop.call_later(time_left, self._time_out, taken, attempt)
 
-        def done(status: api.Status, value: bytes) -> None:
-            self._finish(taken, attempt, status, value)
+        def done(status: api.Status, value: bytes, report: bytes) -> None:
+            self._finish(taken, attempt, status, value, report)
 
         attempt.exchange = self._pool(member).start(
             member.address, taken.command, time_left, done, member.process
@@ -285,7 +299,9 @@
             attempt.exchange.abandon()
         self._finish(taken, attempt, status)
 
-    def _finish(self, taken: Taken, attempt: Attempt, status: api.Status, value: bytes = b"") -> None:
+    def _finish(
+        self, taken: Taken, attempt: Attempt, status: api.Status, value: bytes = b"", report: bytes = b""
+    ) -> None:
         """Give an attempt its one outcome; the first that served answers the client."""
         if taken.attempts.pop(attempt.number, None) is None:
             return
@@ -296,4 +312,5 @@
             self._close(name, b"$%d\r\n%b\r\n" % (len(value), value))
         self.over.append(name)
         latency = self.clock.now() - attempt.sent_at
-        self.post(api.Outcome(name, attempt.number, status, taken.closed, latency))
+        load = read_report(report, self.settings.report) if report else None
+        self.post(api.Outcome(name, attempt.number, status, taken.closed, latency, load))
--- a/brackenwalk/net/origin.py
+++ b/brackenwalk/net/origin.py
@@ -35,9 +35,9 @@
         if response is None:
             return None
         if response.status == 200:
-            return Status.OK, response.body
+            return Status.OK, response.body, b""
         not_started = response.status in (503, 504) and response.headers.get(b"not-started") == b"1"
-        return (Status.FULL if not_started else Status.ERROR), b""
+        return (Status.FULL if not_started else Status.ERROR), b"", b""
 
     def reusable(self) -> bool:
         return self.client.reusable()
--- a/brackenwalk/net/pool.py
+++ b/brackenwalk/net/pool.py
@@ -16,7 +16,8 @@
 ANSWER_TIME = 0.1  # seconds for the rest of an answer once it has begun: it is sent in one go
 log = logging.getLogger(__name__)
 
-Answer = tuple[Status, bytes]
+Answer = tuple[Status, bytes, bytes]  # with the value and the load report
+Done = Callable[[Status, bytes, bytes], None]
 
 
 class MalformedAnswer(Exception):
@@ -39,7 +40,7 @@
 class Exchange:
     """One attempt: it ends once, by `done` or by being abandoned."""
 
-    def __init__(self, command: Command, time_left: float, done: Callable[[Status, bytes], None]) -> None:
+    def __init__(self, command: Command, time_left: float, done: Done) -> None:
         self.command = command
         self.time_left = time_left
         self.done = done
@@ -47,10 +48,10 @@
         self.dial: asyncio.Task[None] | None = None
         self.connection: Connection | None = None
 
-    def finish(self, status: Status, value: bytes = b"") -> None:
+    def finish(self, status: Status, value: bytes = b"", report: bytes = b"") -> None:
         if self.open:
             self.open = False
-            self.done(status, value)
+            self.done(status, value, report)
 
     def abandon(self) -> None:
         """Stop waiting. Closing tells the server to stop work, and an answer can't meet a later request."""
@@ -183,12 +184,7 @@
         self.idle_at: dict[str, dict[Connection, None]] = {}  # of each
 
     def start(
-        self,
-        address: str,
-        command: Command,
-        time_left: float,
-        done: Callable[[Status, bytes], None],
-        process: object = None,
+        self, address: str, command: Command, time_left: float, done: Done, process: object = None
     ) -> Exchange:
         """Start an attempt on the process that is at an address now."""
         exchange = Exchange(command, time_left, done)
--- a/brackenwalk/net/servers.py
+++ b/brackenwalk/net/servers.py
@@ -30,14 +30,14 @@
             reply = self.reader.next()
         except RespError as e:
             raise MalformedAnswer(str(e)) from e
-        # nothing is asked of the third item: a report that can't be read does not spoil the value
+        # a third item that is no report, or can't be read, does not spoil the value
         match reply:
             case ErrorLine(text):
-                return (Status.FULL if text.split(" ")[0] == "BUSY" else Status.ERROR), b""
-            case [bytes(value), bytes() | None, _]:
-                return Status.OK, value
-            case [None, bytes() | None, _]:
-                return Status.MISS, b""
+                status = Status.FULL if text.split(" ")[0] == "BUSY" else Status.ERROR
+                return status, b"", text.rpartition(" ")[2].encode("latin-1")
+            case [bytes() | None as value, bytes() | None, report]:
+                told = report if isinstance(report, bytes) else b""
+                return (Status.MISS, b"", told) if value is None else (Status.OK, value, told)
         if reply is NOT_YET:
             return None
         raise MalformedAnswer(f"not an answer: {repr(reply)[:80]}")
--- a/brackenwalk/policy.py
+++ b/brackenwalk/policy.py
@@ -34,6 +34,7 @@
 RETRIES_SAVED = 10.0  # unspent retries kept, so that those of a lost server can all go at once
 OUTLIER = 4.0  # times what is usual: the most that one sample says, or one lost answer makes all look late
 COPY = 6.0  # times the usual latency after which an answer is more likely lost than late
+ABREAST = 4.0  # requests a server works on at once, about: what waits there goes by so many at a time
 SILENCE = 1.0  # shortest aims without any answer: longer than pauses, soon enough to matter
 KEEP = 0.5  # of the idle time at which a connection costs as much as the handshake it saves
 KEEP_GAIN = 0.01  # of the way back to KEEP with each answer, after failures have cut it by half each
@@ -63,6 +64,7 @@
     failures: int = 0  # in a row
     pause: float = 0.0
     out_until: float = -math.inf
+    rest_until: float = -math.inf  # by then what waits there now is done
 
 
 @dataclass(slots=True, eq=False)
@@ -253,7 +255,7 @@
                 flow -= (1 + EPSILON) * warm * server.size / self.total_size
                 if flow <= 0 and server.reported * self.random.random() <= cap:
                     return server
-            elif server.load >= server.limit and not self._silent(server):
+            elif self.now < server.rest_until or server.load >= server.limit and not self._silent(server):
                 crowded += 1
                 if crowded >= SPILL:
                     break
@@ -278,6 +280,8 @@
         """Whether a server may take the request now."""
         if self.now < server.out_until or server.load and server.failures >= FAILURES:
             return False
+        if self.now < server.rest_until:
+            return False
         if server.load >= server.limit or server.load and self._silent(server):
             return False
         if any(a.server is server for a in held.attempts):
@@ -296,6 +300,20 @@
             server.out_until = self.now + server.pause * self.random.uniform(0.5, 1.0)
             server.limit = min(server.limit, LIMIT_START)  # it may come back cold, and the list tells it late
 
+    def _note_load(self, server: Server, event: api.Outcome) -> None:
+        """Guards against jams: what waits longer than its aim is work done for nobody, and more comes behind.
+
+        A router of many meets a server too seldom to see a crowd in its own attempts; it waits until the one
+        reported is served, each for its own jittered while, so that they don't all come back in step.
+        """
+        delay = event.latency if event.status is api.Status.TIMEOUT else 0.0
+        if event.load is not None:
+            delay = event.load.service * (1 + event.load.waiting / ABREAST)
+        if server.cache and delay > self.shortest_aim:
+            server.rest_until = self.now + min(self.settings.ramp / 2, delay) * self.random.uniform(
+                0.75, 1.25
+            )
+
     def _silent(self, server: Server) -> bool:
         """Whether a server owes us an answer and has given none, to anything, for too long."""
         return self.now - server.quiet_since > SILENCE * self.shortest_aim
@@ -435,6 +453,7 @@
             attempt.server.quiet_since = math.inf
             self._note_failure(attempt.server, event.status in FAILED)
         attempt.server.used_at = self.now
+        self._note_load(attempt.server, event)
         lost = event.status is api.Status.CONNECT_FAILED
         self.keep = self.keep / 2 if lost else self.keep + KEEP_GAIN * (KEEP - self.keep)
         self._close_idle(attempt.server)
--- a/brackenwalk/settings.py
+++ b/brackenwalk/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
 from brackenwalk import interface as api
@@ -40,6 +41,26 @@
     return value
 
 
+def names(table: dict[str, Any], field: str, where: str) -> tuple[str, ...]:
+    """Read a list of names, empty when absent."""
+    value = table.get(field)
+    value = [] if value is None else value
+    if not isinstance(value, list) or not all(isinstance(n, str) for n in value):
+        raise api.SettingsError(f"settings: {where}{field} must be a list of names, not {value!r}")
+    return tuple(value)
+
+
+def read_load(values: dict[str, Any]) -> api.Load | None:
+    """A load report by the names of its values; None where it lacks one that decisions use."""
+    service, waiting = values.get("svc_ms"), values.get("pending")
+    for value in (service, waiting):
+        # guards decisions: noise in a report's place must not count as a load
+        if isinstance(value, bool) or not isinstance(value, (int, float)) or not 0 <= value < math.inf:
+            return None
+    assert service is not None and waiting is not None
+    return api.Load(service / 1000, waiting)
+
+
 def rows(conf: dict[str, Any], field: str) -> list[dict[str, Any]]:
     """Read a list of named objects, empty when absent."""
     value = conf.get(field)
@@ -87,6 +108,7 @@
         second_copies=bool(limits.get("secondCopies", False)),
         may_cancel=bool(limits.get("mayCancel", False)),
         max_attempts=max(1, int(number(limits, "mostTries", 1, "limits."))),
+        report=names(section(conf, "loadReport"), "fields", "loadReport."),
         siblings=max(1, int(number(conf, "siblings", 1, ""))),
         connection_idle=number(limits, "connIdle", 60.0, "limits."),
         dial_timeout=number(limits, "dialTimeout", 0.25, "limits."),
--- a/brackenwalk/wirehost.py
+++ b/brackenwalk/wirehost.py
@@ -10,7 +10,7 @@
 
 from brackenwalk import interface as api
 from brackenwalk.policy import Router
-from brackenwalk.settings import read_settings
+from brackenwalk.settings import read_load, read_settings
 
 STATES = {"active": api.State.READY, "leaving": api.State.DRAINING, "left": api.State.GONE}
 KINDS = {
@@ -66,18 +66,17 @@
     )
 
 
-def read_outcome(e: dict[str, Any]) -> api.Event:
+def read_outcome(e: dict[str, Any], report: tuple[str, ...]) -> api.Event:
     """The end of an attempt."""
-    return api.Outcome(
-        e["ticket"], e["sendNo"], STATUSES[e["outcome"]], bool(e.get("final")), e.get("lag") or 0.0
-    )
+    load = read_load(dict(zip(report, e.get("telemetry") or (), strict=False)))
+    status = STATUSES[e["outcome"]]
+    return api.Outcome(e["ticket"], e["sendNo"], status, bool(e.get("final")), e.get("lag") or 0.0, load)
 
 
 READERS: dict[str, Callable[[dict[str, Any]], api.Event]] = {
     "Membership": read_list,
     "Request": read_request,
     "Begun": lambda e: api.Streaming(e["ticket"], e["sendNo"]),
-    "Done": read_outcome,
     "Aborted": lambda e: api.ClientGone(e["ticket"]),
     "Wake": lambda e: api.TimerFired(e["ctx"]),
 }
@@ -141,8 +140,9 @@
                 return
             if op in UNUSED:
                 return
-            read = READERS[op](event)
             router = self.routers.get(number_)
+            report = router.settings.report if router is not None else ()
+            read = read_outcome(event, report) if op == "Done" else READERS[op](event)
         except api.SettingsError as e:
             print(f"brackenwalk: {e}", file=sys.stderr)
             commands.append({"op": "InternalError", "routerId": number_, "line": str(e)})
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -21,7 +21,9 @@
     lines = MODULE.splitlines()
     # 420 until servers that fail in a row were taken out and lost answers asked for again: without these
     # a router spends its retries on the dead, and a read waits out its aim
-    assert sum(bool(line.strip()) for line in lines) <= 480
+    # 480 until load reports were heeded: own attempts at a server are none or one in a large fleet, so that
+    # without them all routers go on feeding a server whose queue is longer than any deadline
+    assert sum(bool(line.strip()) for line in lines) <= 510
     assert max(map(len, lines)) <= 110
 
 
--- /dev/null
+++ b/tests/test_load.py
@@ -0,0 +1,85 @@
+"""Load reports: how they are read, and what a router makes of them."""
+
+from __future__ import annotations
+
+import pytest
+
+from brackenwalk import interface as api
+from brackenwalk.net.host import read_report
+from brackenwalk.settings import read_settings
+from tests.driver import Driver, entry, settings
+
+NAMES = ("svc_ms", "pending")
+
+
+def jam(d: Driver, name: str, service: float = 0.5, waiting: float = 20.0) -> str:
+    """A request whose server refuses it as full and tells how much waits there; answers with the server."""
+    server = d.request(name, key="k")
+    assert server is not None
+    d.feed(api.Outcome(name, 0, api.Status.FULL, False, 0.01, api.Load(service, waiting)))
+    return server
+
+
+def test_a_server_that_reports_a_jam_rests_until_it_is_served() -> None:
+    """All routers sent on to servers whose queues were longer than any deadline; all came too late."""
+    d = Driver(settings())
+    d.list(*(entry(s) for s in "abcdef"))
+    first = jam(d, "r0")
+    assert all(d.request(f"r{n}", key="k", finish=True) != first for n in range(1, 6))
+    d.now += 1.25 * d.conf.ramp / 2
+    assert any(d.request(f"t{n}", key="k", finish=True) == first for n in range(6))
+
+
+def test_a_time_out_is_a_report_of_its_own() -> None:
+    d = Driver(settings())
+    d.list(*(entry(s) for s in "abcdef"))
+    first = d.request("r", key="k", time_left=2.0)
+    d.now += 1.5
+    d.feed(api.Outcome("r", 0, api.Status.TIMEOUT, False, 1.5))
+    assert d.request("s", key="k", finish=True) != first
+
+
+def test_a_light_load_lets_no_server_rest() -> None:
+    d = Driver(settings())
+    d.list(*(entry(s) for s in "abcdef"))
+    first = d.request("r", key="k")
+    d.feed(api.Outcome("r", 0, api.Status.OK, True, 0.2, api.Load(0.1, 3.0)))
+    assert d.request("s", key="k", finish=True) == first
+
+
+def test_routers_do_not_come_back_in_step() -> None:
+    ends = set()
+    for seed in range(40):
+        d = Driver(settings(), seed=seed)
+        d.list(*(entry(s) for s in "abcdef"))
+        ends.add(d.router.servers[jam(d, "r")].rest_until)
+    assert len(ends) == 40 and max(ends) - min(ends) > 1.0
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        b"",
+        b"svc_ms=1",
+        b"svc_ms=nan,pending=1",
+        b"svc_ms=1,pending=inf",
+        b"svc_ms=-1,pending=0",
+        b"x" * 9000,
+        b"\xff=,=",
+    ],
+)
+def test_a_report_that_cannot_be_read_is_none(text: bytes) -> None:
+    assert read_report(text, NAMES) is None
+
+
+def test_a_report_is_read_by_the_names_in_the_settings() -> None:
+    conf = {"classes": [{"name": "read"}], "loadReport": {"fields": [*NAMES, "x0"]}}
+    names = read_settings(conf).report
+    assert read_report(b"x0=1,pending=2.5,svc_ms=40,other=3", names) == api.Load(0.04, 2.5)
+    assert read_report(b"pending=2.5,svc_ms=40", ()) is None
+
+
+@pytest.mark.parametrize("fields", ["svc_ms", [1], {}])
+def test_names_that_are_none_are_told(fields: object) -> None:
+    with pytest.raises(api.SettingsError, match=r"loadReport\.fields"):
+        read_settings({"classes": [{"name": "read"}], "loadReport": {"fields": fields}})
--- a/tests/test_net_pool.py
+++ b/tests/test_net_pool.py
@@ -35,7 +35,7 @@
         return link
 
     def start(self, address: str, command: Command = GET) -> Exchange:
-        return self.pool.start(address, command, 0.5, lambda s, v: self.results.put_nowait((s, v)))
+        return self.pool.start(address, command, 0.5, lambda s, v, r: self.results.put_nowait((s, v)))
 
     async def end(self) -> tuple[Status, bytes]:
         return await self.results.get()
@@ -154,7 +154,7 @@
             link = await ends.begun(peer)
             link.write(HIT)
             await ends.end()
-            ends.pool.start(peer.address, GET, 0.5, lambda s, v: None, process="another")
+            ends.pool.start(peer.address, GET, 0.5, lambda s, v, r: None, process="another")
             assert await link.ended()
             assert (await (await peer.link()).resp())[2] == b"r1"
             ends.pool.close()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -414,6 +414,7 @@
     assert d.request("r3", key="k", finish=True) == second
     d.end("r1", api.Status.TIMEOUT, latency=1.1)
     d.end("r2", api.Status.TIMEOUT, latency=1.1)
+    d.now += 1.4  # for so long a server that timed out rests
     assert d.request("r4", key="k") == first
     assert d.request("r5", key="k", finish=True) == second
     d.end("r4", api.Status.ERROR)
