Scale the rest of a crowded server by the number of routers that send to it

Checked: counting sends across the fleet, a resting server still got 15 to 25 a second, as 40 routers that come back each after about a second are 40 a second; a server of one core bears some 25 and, once crowded for two seconds, half of that. So it never fell idle and stayed slow.

Lines at fault: Router._note_load, which took a pause that is right for one router; and its threshold, a whole aim, which sees a jam only once it is there.

Choice: a server rests for at least siblings times the service time usual in the fleet, so that what all routers send together is less than one core bears; and from half an aim of delay on. It gives up hits at a server that was crowded by chance; with three routers the rest is short.

--- a/brackenwalk/policy.py
+++ b/brackenwalk/policy.py
@@ -34,6 +34,7 @@
 RETRIES_SAVED = 10.0  # unspent retries kept, so that those of a lost server can all go at once
 OUTLIER = 4.0  # times what is usual: the most that one sample says, or one lost answer makes all look late
 COPY = 6.0  # times the usual latency after which an answer is more likely lost than late
+CROWDED = 0.5  # of the shortest aim: a delay from which a server is on its way into a jam
 ABREAST = 4.0  # requests a server works on at once, about: what waits there goes by so many at a time
 SILENCE = 1.0  # shortest aims without any answer: longer than pauses, soon enough to matter
 KEEP = 0.5  # of the idle time at which a connection costs as much as the handshake it saves
@@ -130,6 +131,7 @@
         self.keep = KEEP
         self._build_ring()
         self.wait = 0.0  # smoothed latency for each request held a unit of size, the one in hand included
+        self.usual = 0.0  # smoothed service time of servers at which nothing waits
         self.good = 1.0  # smoothed share of attempts at caches that were answered well
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
@@ -309,10 +311,12 @@
         delay = event.latency if event.status is api.Status.TIMEOUT else 0.0
         if event.load is not None:
             delay = event.load.service * (1 + event.load.waiting / ABREAST)
-        if server.cache and delay > self.shortest_aim:
-            server.rest_until = self.now + min(self.settings.ramp / 2, delay) * self.random.uniform(
-                0.75, 1.25
-            )
+            if event.load.waiting < 1:
+                self.usual += SMOOTHING * (event.load.service - self.usual)
+        if server.cache and delay > CROWDED * self.shortest_aim:
+            # as all routers that meet it rest for so long, what they send together is less than it bears
+            pause = max(self.settings.siblings * self.usual, min(self.settings.ramp / 2, delay))
+            server.rest_until = self.now + pause * self.random.uniform(0.75, 1.25)
 
     def _silent(self, server: Server) -> bool:
         """Whether a server owes us an answer and has given none, to anything, for too long."""
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -83,3 +83,29 @@
 def test_names_that_are_none_are_told(fields: object) -> None:
     with pytest.raises(api.SettingsError, match=r"loadReport\.fields"):
         read_settings({"classes": [{"name": "read"}], "loadReport": {"fields": fields}})
+
+
+def seconds_between_sends(siblings: int) -> float:
+    """The mean time that one router leaves a server alone that is on its way into a jam."""
+    pauses = []
+    for seed in range(40):
+        d = Driver(settings(siblings=siblings), seed=seed)
+        d.list(*(entry(s) for s in "abcdef"))
+        for n in range(30):  # what a request takes where nothing waits
+            d.request(f"u{n}", key=f"u{n}")
+            d.feed(api.Outcome(f"u{n}", 0, api.Status.OK, True, 0.05, api.Load(0.05, 0.0)))
+        pauses.append(d.router.servers[jam(d, "r", service=0.15, waiting=16.0)].rest_until - d.now)
+    return sum(pauses) / len(pauses)
+
+
+def test_all_routers_together_send_a_crowded_server_less_than_it_bears() -> None:
+    """Each rested it for the one wait that it was told; forty of them still sent twice what it bears."""
+    assert 40 / seconds_between_sends(40) < 1.1 / 0.05
+    assert seconds_between_sends(3) < 0.5 * seconds_between_sends(40)  # a few routers need no such rest
+
+
+def test_a_server_on_its_way_into_a_jam_rests_before_it_is_in_one() -> None:
+    d = Driver(settings(siblings=40))
+    d.list(*(entry(s) for s in "abcdef"))
+    first = jam(d, "r", service=0.15, waiting=12.0)  # 0.6 of the aim
+    assert d.request("s", key="k", finish=True) != first
