Time second copies by the latency of the whole fleet, not of one seldom met server

Ruled out: lost answers (no resets, no silent server in the trace).

Line at fault: Router._send, pause = COPY * server.latency. A router meets each server every two or three seconds, so that figure is one or two samples, and a quick one by chance calls for a copy of each slower answer. One router in front of nine servers has many samples; forty in front of sixty have not.

Choice: the larger of that and the smoothed latency of all answers of cache servers. Given up: copies of answers lost by a quick server come later while the fleet is slow.

--- a/brackenwalk/policy.py
+++ b/brackenwalk/policy.py
@@ -377,7 +377,7 @@
         server.load += 1
         server.quiet_since = min(server.quiet_since, self.now)
         self.out.append(api.Send(name, server.entry.server))
-        pause = max(COPY * server.latency, self.settings.tick)
+        pause = max(COPY * max(server.latency, self.wait), self.settings.tick)
         safe = held.request_class.effect is api.Effect.SAFE and self.settings.second_copies
         if safe and server.cache and server.latency and self.now + pause < held.until:
             self.out.append(api.SetTimer(pause, "copy:" + name))
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -109,3 +109,17 @@
     d.list(*(entry(s) for s in "abcdef"))
     first = jam(d, "r", service=0.15, waiting=12.0)  # 0.6 of the aim
     assert d.request("s", key="k", finish=True) != first
+
+
+def test_few_quick_answers_of_a_server_set_no_early_copies() -> None:
+    """A server met once or twice seemed quick by chance, and a tenth of all attempts were needless copies."""
+    d = Driver(settings())
+    d.list(*(entry(s) for s in "abcdef"))
+    quick = d.request("r", key="k")
+    d.end("r", api.Status.OK, latency=0.01)
+    for n in range(60):
+        if d.request(f"u{n}", key=f"u{n}") is not None:
+            d.end(f"u{n}", api.Status.OK, latency=0.01 if d.sends[f"u{n}"][0] == quick else 0.1)
+    d.request("s", key="k")
+    copies = [due - d.now for due, token in d.timers if token == "copy:s"]
+    assert d.sends["s"] == [quick] and all(pause > 0.3 for pause in copies) and copies
