Take a server out at the first refused connection, and spend no retry on it

Checked: not the servers' limit on connections (refused at once, and the same servers answer nobody), not descriptors (96 of 384).

Lines at fault: Router._note_failure, which wants three failures in a row, at servers met once in seconds; which begins its counts anew while more than half of the fleet fails, so that on an old list nobody is ever left out; and _after_failure, which spends a retry on each.

Choice: a refused connection takes a server out at once, and its request goes on without a retry spent while enough is answered well. Beyond half of the fleet the pause stays at its shortest, so that a network cut off for a while is soon tried again. Given up: a server that refuses one connection by chance is left alone for up to half a second.

--- a/brackenwalk/policy.py
+++ b/brackenwalk/policy.py
@@ -40,6 +40,7 @@
 KEEP = 0.5  # of the idle time at which a connection costs as much as the handshake it saves
 KEEP_GAIN = 0.01  # of the way back to KEEP with each answer, after failures have cut it by half each
 FAILED = (api.Status.ERROR, api.Status.RESET, api.Status.CONNECT_FAILED)  # fast, and telling nothing of load
+CHEAP = (api.Status.FULL, api.Status.CONNECT_FAILED)  # told at once, and no work for any server
 FAILURES = 3  # in a row take a server out: spoilt answers come one by one, those of a dead process together
 PAUSE = 0.5  # seconds out at first, doubled with each trial that fails; routers must not try in step
 MOST_OUT = 0.5  # share of the fleet; when more fails it is not the servers, and the others could not bear it
@@ -290,15 +291,18 @@
             return False
         return self._permits(held, server)
 
-    def _note_failure(self, server: Server, failed: bool) -> None:
+    def _note_failure(self, server: Server, status: api.Status) -> None:
         """Guards retries: keys of a server that fails each attempt at once would spend them all."""
         others = sum(s.failures >= FAILURES for s in self.caches if s is not server)
-        if not failed or not server.cache or others + 1 > MOST_OUT * len(self.caches):
+        absent = status is api.Status.CONNECT_FAILED
+        most = others + 1 > MOST_OUT * len(self.caches)
+        if status not in FAILED or not server.cache or most and not absent:
             server.failures, server.pause = 0, 0.0
             return
-        server.failures += 1
+        # nobody is there, and who meets it once in seconds would need many to see it thrice
+        server.failures += FAILURES if absent else 1
         if server.failures >= FAILURES and self.now >= server.out_until:
-            server.pause = min(self.settings.ramp, max(PAUSE, 2 * server.pause))
+            server.pause = min(self.settings.ramp, max(PAUSE, 0.0 if most else 2 * server.pause))
             server.out_until = self.now + server.pause * self.random.uniform(0.5, 1.0)
             server.limit = min(server.limit, LIMIT_START)  # it may come back cold, and the list tells it late
 
@@ -455,7 +459,7 @@
         attempt.server.load -= 1
         if event.status not in UNHEARD:
             attempt.server.quiet_since = math.inf
-            self._note_failure(attempt.server, event.status in FAILED)
+            self._note_failure(attempt.server, event.status)
         attempt.server.used_at = self.now
         self._note_load(attempt.server, event)
         lost = event.status is api.Status.CONNECT_FAILED
@@ -480,7 +484,7 @@
             held.to_origin = True
         elif event.status is api.Status.ERROR and not self.settings.aside:
             held.until = self.now  # guards against a failing origin: each server tried fetches the key again
-        elif not held.to_origin and (event.status is not api.Status.FULL or self.good < ROOM):
+        elif not held.to_origin and (event.status not in CHEAP or self.good < ROOM):
             # guards against feeding an overload: full servers made every request into a dozen attempts
             if self.retries < 1:
                 held.until = self.now
--- /dev/null
+++ b/tests/test_absent.py
@@ -0,0 +1,38 @@
+"""Servers that are gone and still listed: their connections are refused."""
+
+from __future__ import annotations
+
+from brackenwalk import interface as api
+from brackenwalk import policy
+from tests.driver import Driver, entry, settings
+
+
+def test_one_refused_connection_takes_a_server_out() -> None:
+    """Each router met each server that had gone three times, seconds apart, before it went round it."""
+    d = Driver(settings())
+    d.list(*(entry(s) for s in "abcdef"))
+    gone = d.request("r", key="k")
+    assert gone is not None
+    assert d.end("r", api.Status.CONNECT_FAILED) not in (None, gone)
+    assert d.router.servers[gone].out_until > d.now
+
+
+def test_a_refused_connection_spends_no_retry() -> None:
+    d = Driver(settings())
+    d.list(*(entry(s) for s in "abcdef"))
+    d.router.retries = 0.0
+    d.request("r", key="k")
+    assert d.end("r", api.Status.CONNECT_FAILED) is not None
+
+
+def test_absent_servers_are_left_out_however_many_they_are() -> None:
+    """With most of an old list gone the counts began anew all the time, and nobody was ever left out."""
+    d = Driver(settings())
+    d.list(*(entry(s) for s in "abcd"))
+    for server in d.router.servers.values():
+        for _ in range(3):
+            d.router.now += 2 * policy.PAUSE
+            d.router._note_failure(server, api.Status.CONNECT_FAILED)
+    now = d.router.now
+    assert d.router.servers["a"].pause > policy.PAUSE
+    assert now < d.router.servers["d"].out_until <= now + policy.PAUSE  # beyond half of them never for longer
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -724,7 +724,7 @@
     d.list(*fleet("a", "b", "c", "d"))
     for server in d.router.servers.values():
         for _ in range(2 * policy.FAILURES):
-            d.router._note_failure(server, True)
+            d.router._note_failure(server, api.Status.ERROR)
     assert sum(s.out_until > d.now for s in d.router.servers.values()) == 2
 
 
