--- /dev/null
+++ b/tests/test_deploy.py
@@ -0,0 +1,83 @@
+"""The deploy file: what `build` leaves behind when it is broken off or has been overtaken."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import tomllib
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parent.parent
+DEPLOY = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+
+# stands in for `python3 -m venv` and for the pip in what it makes: nothing is fetched
+PYTHON = """#!/bin/sh
+rm -rf .venv && mkdir -p .venv/bin && cp "$0.pip" .venv/bin/pip && chmod +x .venv/bin/pip
+"""
+PIP = """#!/bin/sh
+test ! -e broken && cp requirements.txt .venv/packages
+"""
+
+
+class Checkout:
+    """A root with the requirements, and tools that note what was installed."""
+
+    def __init__(self, root: Path) -> None:
+        self.root = root
+        self.tools = root / "tools"
+        self.tools.mkdir()
+        (self.tools / "python3").write_text(PYTHON)
+        (self.tools / "python3").chmod(0o755)
+        (self.tools / "python3.pip").write_text(PIP)
+        self.require("one==1\n")
+
+    def require(self, text: str) -> None:
+        (self.root / "requirements.txt").write_text(text)
+
+    def build(self) -> int:
+        path = f"{self.tools}{os.pathsep}{os.environ['PATH']}"
+        return subprocess.run(
+            ["/bin/sh", "-c", DEPLOY["build"]], cwd=self.root, env={"PATH": path}, check=False
+        ).returncode
+
+    def installed(self) -> str:
+        return (self.root / ".venv" / "packages").read_text()
+
+
+@pytest.fixture
+def checkout(tmp_path: Path) -> Checkout:
+    return Checkout(tmp_path)
+
+
+def test_a_build_broken_off_is_made_anew(checkout: Checkout) -> None:
+    """Half an environment taken for whole starts no router, on any later build either."""
+    (checkout.root / "broken").touch()
+    assert checkout.build() != 0
+    (checkout.root / "broken").unlink()
+    assert checkout.build() == 0
+    assert checkout.installed() == "one==1\n"
+
+
+def test_a_folder_that_some_other_build_left_half_made_is_made_anew(checkout: Checkout) -> None:
+    (checkout.root / ".venv" / "bin").mkdir(parents=True)
+    assert checkout.build() == 0
+    assert checkout.installed() == "one==1\n"
+
+
+def test_a_whole_build_stays_and_other_requirements_make_a_new_one(checkout: Checkout) -> None:
+    assert checkout.build() == 0
+    kept = checkout.root / ".venv" / "kept"
+    kept.touch()
+    assert checkout.build() == 0
+    assert kept.exists()
+    checkout.require("one==2\n")
+    assert checkout.build() == 0
+    assert checkout.installed() == "one==2\n"
+    assert not kept.exists()
+
+
+def test_run_is_one_process_in_place_of_its_shell() -> None:
+    """A shell that stays in front would take SIGTERM, and starting it costs a second process."""
+    assert DEPLOY["run"].startswith("exec ") and not set("&|;") & set(DEPLOY["run"])
