Open a dead watch anew before what it hides counts as told

What the agent holds counted as told 6 s after the silence. With further failures the pause doubled to the whole warm-up, so that a reset or the return of discovery could fall into it as well.

Blame: WATCH_WAIT + ANSWER_MARGIN = 6 s, and Router._ask_list_later, which knew no bound from drains. Now silence is found after 5 s at most. Where lists are pushed no pause outlasts half of what drains allow (told in the settings); where they are asked for only the first pause is bounded, so that routers still don't call in step. Price: four calls in place of three in 12 s, none of them with lines, and up to eight calls a second to an agent that refuses connections.

--- a/brackenwalk/interface.py
+++ b/brackenwalk/interface.py
@@ -106,6 +106,7 @@
     ramp: float = 10.0
     fall_multiple: float = 2.0
     fall_window: float = 1.0
+    drain_grace: float = 0.5  # for which a server may still be sent to, once told that it leaves
 
 
 @dataclass(slots=True, frozen=True)
--- a/brackenwalk/net/discovery.py
+++ b/brackenwalk/net/discovery.py
@@ -17,8 +17,10 @@
 
 STATES = {"in_service": api.State.READY, "terminating": api.State.DRAINING, "terminated": api.State.GONE}
 MAX_LIST = 4 * 1024 * 1024
-WATCH_WAIT = 4.0  # with the margin, 6 s: by then news that did not arrive counts as told
-ANSWER_MARGIN = 2.0  # for which discovery may keep a call waiting in turn before that
+WATCH_WAIT = (
+    3.0  # with the margin, 5 s: what a silent watch misses counts as told after 6, and asking takes time
+)
+ANSWER_MARGIN = 2.0  # for which discovery may keep a call waiting in turn
 # after an answer with no news, so that an agent that never waits is not asked in a spin; a call more than
 # 200 ms after the last answer would be a new watch, in turn with all others
 EMPTY_PAUSE = 0.05
--- a/brackenwalk/policy.py
+++ b/brackenwalk/policy.py
@@ -44,6 +44,8 @@
 FAILURES = 3  # in a row take a server out: spoilt answers come one by one, those of a dead process together
 PAUSE = 0.5  # seconds out at first, doubled with each trial that fails; routers must not try in step
 MOST_OUT = 0.5  # share of the fleet; when more fails it is not the servers, and the others could not bear it
+LIST_PAUSE = 1.0  # seconds: silence is found after five, and what it hides counts as told after six
+LEAST_PAUSE = 0.05  # the slack of every time limit; without any, a dead agent would be asked in a spin
 UNHEARD = (api.Status.TIMEOUT, api.Status.CANCELLED, api.Status.MOOT)
 
 
@@ -188,9 +190,17 @@
             self.out.append(api.Subscribe())
 
     def _ask_list_later(self) -> None:
-        """Subscribe again after a doubling, jittered pause, so that routers don't call in step."""
+        """Subscribe again after a doubling, jittered pause, so that routers don't call in step.
+
+        Where lists are pushed, the call is answered beside the router at no cost, and what is held there
+        counts as told whether it is asked for or not: no pause may outlast half of what drains allow.
+        """
         self.list_failures += 1
         pause = min(self.settings.ramp, self.settings.fall_window * 2.0 ** (self.list_failures - 2))
+        if self.list_failures == 1:  # the watch before may have been silent for long
+            pause = min(pause, LIST_PAUSE)
+        if not self.settings.subscribe:
+            pause = min(pause, max(self.settings.drain_grace / 2, LEAST_PAUSE))
         self.out.append(api.SetTimer(pause * self.random.uniform(0.5, 1.0), "list"))
         self.out.append(api.Log(f"list out of reach, {self.list_failures} in a row"))
 
--- a/brackenwalk/settings.py
+++ b/brackenwalk/settings.py
@@ -119,4 +119,5 @@
         ramp=number(rules, "rampTime", 10.0, "rules."),
         fall_multiple=number(rules, "fallMultiple", 2.0, "rules."),
         fall_window=number(rules, "overloadFor", 1.0, "rules."),
+        drain_grace=number(rules, "stopSendingWithin", 0.5, "rules."),
     )
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -13,6 +13,7 @@
 
 from brackenwalk import interface as api
 from brackenwalk.net.clients import Listener
+from brackenwalk.net.discovery import Discovery
 from brackenwalk.net.host import Host, Member
 from brackenwalk.net.origin import OriginConnection
 from brackenwalk.net.pool import Pool
@@ -144,6 +145,7 @@
     def __init__(self, settings: api.Settings = SETTINGS, listed: bool = True, clients: int = 16) -> None:
         self.listed = listed
         self.subscribed = 0
+        self.discovery: Discovery | None = None
         self.caches = {"a": Peer(), "b": Peer()}
         self.origin = Peer()
         self.servers = Pool(CacheConnection, 16, 1.0, 60.0)
@@ -153,6 +155,13 @@
 
     def _subscribe(self) -> None:
         self.subscribed += 1
+        if self.discovery is not None:
+            self.discovery.subscribe()
+
+    def watch(self, agent: Peer) -> None:
+        """Take the list from an agent from now on, as the program does."""
+        self.discovery = Discovery(agent.address, 1, self.host.list_told, self.host.list_failed)
+        self.discovery.subscribe()
 
     async def __aenter__(self) -> Self:
         for peer in (*self.caches.values(), self.origin):
@@ -173,6 +182,8 @@
         for connection in list(self.listener.connections):
             connection.transport.abort()
         await self.listener.stop(0.0, 1.0)
+        if self.discovery is not None:
+            self.discovery.close()
         self.servers.close()
         self.origins.close()
         for peer in (*self.caches.values(), self.origin):
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -80,7 +80,7 @@
         async with Peer() as peer:
             told = Told(peer)
             first, link = await call(peer)
-            assert first == "GET /registry/instances?after=41&wait_ms=4000 HTTP/1.1"
+            assert first == "GET /registry/instances?after=41&wait_ms=3000 HTTP/1.1"
             link.write(http("200 OK", message(43, False, {**LINE, "status": "terminating"})))
             kind, (member,) = await told.news.get() or pytest.fail()
             assert kind is api.ListKind.DELTA and member.entry.state is api.State.DRAINING
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -16,6 +16,7 @@
 
 MAY_HAVE_RUN = [api.Status.ERROR, api.Status.RESET, api.Status.TIMEOUT, api.Status.CANCELLED]
 NEVER_RAN = [api.Status.FULL, api.Status.CONNECT_FAILED, api.Status.MOOT]
+FAILED_CALL = api.ServerList(api.ListKind.FAILED)
 ASIDE: dict[str, Any] = {"aside": True, "origin_kind": "origin"}
 
 
@@ -167,6 +168,20 @@
         d.timers.clear()
         assert d.feed(api.TimerFired(timer.token)) == [api.Subscribe()]
     assert pauses[-1] > pauses[0]
+    # found after five seconds of silence, what the watch missed counts as told after six
+    first = Driver(settings(subscribe=True, fall_window=60.0, ramp=60.0))
+    assert all(t.delay <= 1.0 for t in first.feed(FAILED_CALL) if isinstance(t, api.SetTimer))
+
+
+@pytest.mark.parametrize("grace", [0.0, 0.2, 0.5, 4.0])
+def test_a_pushed_list_is_asked_for_again_well_within_what_drains_allow(grace: float) -> None:
+    """What the agent holds counts as told at once: a doubling pause sends to servers that leave meanwhile."""
+    d = Driver(settings(drain_grace=grace, fall_window=2.0, ramp=9.0))
+    for _ in range(12):
+        (timer,) = (a for a in d.feed(FAILED_CALL) if isinstance(a, api.SetTimer))
+        assert 0 < timer.delay <= max(grace / 2, 0.05)  # every limit is 50 ms longer
+        d.timers.clear()
+        assert d.feed(api.TimerFired(timer.token)) == [api.Subscribe()]
 
 
 def test_warming_server_gets_its_share_and_not_more() -> None:
