Listen only once the first list has come, where lists are pushed

A new process listened at once and served from the list in its configuration, which may be out of date; its first call asked for what is newer and waited for it. What the agent holds counts as told from the first moment, so a start that took longer than drains allow could send to a server that had left.

Now the address is bound first, so that one in use is still named at once, but nobody can connect until the first answer has come; that call does not wait for news, so none is an answer as well. An agent that stays silent (discovery is down) holds a router up for a second and has told nothing then. Price: that second in each start while discovery is down, and one more call in each start.

Tests: a client is refused until the agent has told of a drain, and then only the other server is sent to; a silent agent does not keep a router from serving. The first fails without the mend at its first check of the call.

--- a/brackenwalk/__main__.py
+++ b/brackenwalk/__main__.py
@@ -7,6 +7,7 @@
 import os
 import signal
 import sys
+from contextlib import suppress
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -24,6 +25,9 @@
 
 STILL_COMING = 0.5  # seconds after SIGTERM in which new connections come: 0.2 to 0.4, and a little more
 LONGEST_END = 3.0  # seconds after those until all deadlines are past; SIGKILL may come 0.2 s later
+FIRST_LIST = (
+    1.0  # seconds to hear of it before serving from the one known: an agent answers within ms or is down
+)
 RESERVE = 32  # descriptors for the loop, the log, the listener and discovery
 
 
@@ -96,11 +100,16 @@
         discovery.subscribe()
 
     host = Host(settings, config.seed, servers, origin, subscribe)
-    discovery = Discovery(config.discovery, config.known_index, host.list_told, host.list_failed)
+    pushed = not settings.subscribe
+    discovery = Discovery(config.discovery, config.known_index, host.list_told, host.list_failed, pushed)
+    listener = Listener(host, room // 2)
+    try:
+        listener.bind(config.listen)
+    except OSError as e:
+        raise ConfigError(f"listen: {e}") from e
     host.list_told(api.ListKind.SAVED, config.known)
-    if not settings.subscribe:
+    if pushed:
         discovery.subscribe()  # the module does not ask for what is pushed; it comes by the same calls
-    listener = Listener(host, room // 2)
 
     def reload() -> None:
         """Take a new address of discovery; nothing else of a configuration changes while a router runs."""
@@ -115,7 +124,7 @@
         logging.info("discovery is now %s", address)
         discovery.move(address)
         host.list_moved()
-        if not settings.subscribe:
+        if pushed:
             discovery.subscribe()
 
     loop = asyncio.get_running_loop()
@@ -123,10 +132,13 @@
     terminated = asyncio.Event()
     for each in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(each, terminated.set)
-    try:
-        listener.start(config.listen)
-    except OSError as e:
-        raise ConfigError(f"listen: {e}") from e
+    if pushed:
+        # guards the rule on drains: what the agent holds counts as told from the first moment, and the list
+        # known before may name servers that have left since
+        with suppress(TimeoutError):
+            async with asyncio.timeout(FIRST_LIST):
+                await discovery.heard.wait()
+    listener.start()
     logging.info("listening on %s:%d", *listener.socket.getsockname())
     await terminated.wait()
     logging.info("ending: no new connections in %g s", STILL_COMING)
--- a/brackenwalk/net/clients.py
+++ b/brackenwalk/net/clients.py
@@ -186,11 +186,14 @@
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.tasks: list[asyncio.Task[None]] = []
 
-    def start(self, address: tuple[str, int]) -> None:
-        """Listen and accept."""
+    def bind(self, address: tuple[str, int]) -> None:
+        """Take the address; whoever connects is still refused."""
         self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.socket.setblocking(False)
         self.socket.bind(address)
+
+    def start(self) -> None:
+        """Listen and accept."""
         self.socket.listen(BACKLOG)
         self.tasks = [asyncio.create_task(self._accept()), asyncio.create_task(self._sweep())]
 
--- a/brackenwalk/net/discovery.py
+++ b/brackenwalk/net/discovery.py
@@ -82,12 +82,16 @@
         index: int | None,
         told: Callable[[api.ListKind, list[Member]], None],
         failed: Callable[[], None],
+        pushed: bool = False,
     ) -> None:
         self.address = address
         self.index = index  # of the list held; None: from another discovery, or none
         self.told = told
         self.failed = failed
         self.watch: asyncio.Task[None] | None = None
+        self.heard = asyncio.Event()  # that a list has been told
+        # an agent answers at once; a discovery asked by all might keep a second call waiting in turn
+        self.ask_at_once = pushed
 
     def subscribe(self) -> None:
         """Begin a watch, unless one is on."""
@@ -106,7 +110,9 @@
             while True:
                 began = time.monotonic()
                 self.index, whole, members = await self._call()
+                self.ask_at_once = False
                 self.told(api.ListKind.FULL if whole else api.ListKind.DELTA, members)
+                self.heard.set()
                 if not members:
                     await asyncio.sleep(EMPTY_PAUSE)
         except Exception as e:
@@ -126,7 +132,9 @@
                 client = HttpClient(self.address, MAX_LIST)
                 target = "/registry/instances"
                 if self.index is not None:
-                    target += f"?after={self.index}&wait_ms={int(WATCH_WAIT * 1000)}"
+                    target += (
+                        f"?after={self.index}&wait_ms={0 if self.ask_at_once else int(WATCH_WAIT * 1000)}"
+                    )
                 writer.write(client.request("GET", target, [(b"Connection", b"close")]))
                 response = None
                 while response is None:
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -168,7 +168,8 @@
             await peer.__aenter__()
         if self.listed:
             self.list("a", "b")
-        self.listener.start(("127.0.0.1", 0))
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.start()
         return self
 
     def list(self, *names: str) -> None:
--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -17,6 +17,7 @@
 import pytest
 
 from brackenwalk import __main__ as program
+from brackenwalk.net.discovery import WATCH_WAIT
 from brackenwalk.net.pool import address_of
 from tests.loopback import HIT, PATIENCE, Link, Peer, command, http, read, run, spelled
 from tests.test_net_discovery import LINE, message
@@ -212,3 +213,80 @@
                 assert "after=8&" in (await (await third.link()).http())[0]
 
     run(scenario)
+
+
+@asynccontextmanager
+async def served(config: dict[str, Any], path: Path) -> AsyncIterator[tuple[str, int]]:
+    """The program in this process, and where it will listen."""
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        address: tuple[str, int] = free.getsockname()
+    config = {**config, "listen": spelled(address)}
+    serving = asyncio.create_task(program.serve(program.read_config(orjson.dumps(config)), str(path)))
+    try:
+        yield address
+    finally:
+        os.kill(os.getpid(), signal.SIGTERM)
+        await serving
+
+
+def test_a_new_process_is_not_there_before_its_first_list(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """What the agent holds counts as told from the first moment; the list known may be long out of date."""
+    monkeypatch.setattr(program, "FIRST_LIST", PATIENCE)
+
+    async def scenario() -> None:
+        async with Peer() as left, Peer() as stays, Peer() as agent:
+            config = configured(left, agent, "automatic")
+            gone = config["known"]["endpoints"][0]
+            other = {**gone, "name": "s-2", "address": stays.address}
+            config["known"]["endpoints"].append(other)
+            async with served(config, tmp_path / "config.json") as address:
+                call = await agent.link()
+                assert "after=1&wait_ms=0 " in (await call.http())[0]  # so that no news is an answer as well
+                with pytest.raises(ConnectionRefusedError):
+                    await asyncio.open_connection(*address)
+                call.write(http("200 OK", message(2, False, {**gone, "status": "terminating"})))
+                call = await agent.link()
+                assert f"after=2&wait_ms={int(WATCH_WAIT * 1000)} " in (await call.http())[0]
+                client = await ready(address)
+                cache: Link | None = None
+                for n in range(8):
+                    client.write(read(f"r{n}", f"k{n}"))
+                    cache = cache or await stays.link()
+                    await cache.resp()
+                    cache.write(HIT)
+                    assert await client.resp() == b"value"
+                assert left.links.empty()
+                client.close()
+
+    run(scenario)
+
+
+def test_a_new_process_serves_from_the_list_known_while_its_agent_is_silent(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Discovery may be down for long, and has told nothing then."""
+    monkeypatch.setattr(program, "FIRST_LIST", 0.01)
+
+    async def scenario() -> None:
+        async with (
+            Peer() as cache,
+            Peer() as agent,
+            served(configured(cache, agent, "automatic"), tmp_path / "config.json") as address,
+        ):
+            await (await agent.link()).http()
+            while True:
+                try:
+                    client = await ready(address)
+                    break
+                except ConnectionRefusedError:
+                    await asyncio.sleep(0)
+            client.write(read("r1"))
+            link = await cache.link()
+            await link.resp()
+            link.write(HIT)
+            assert await client.resp() == b"value"
+            client.close()
+
+    run(scenario)
