Ask whether an attempt may still be sent once its connection is up

Found by reading: Pool._dial wrote its request as soon as the connection was up, whatever the list had said meanwhile, and, where attempts may not be cancelled, whether or not the request was over. With a dial time longer than what drains allow (the settings of a customer decide both) a request went to a server announced as leaving.

Blame: the last two lines of Pool._dial; Host._send, which asked once only. The host now answers for each attempt, before its first byte, why it must not be written: its request is over (it never ran, and the connection is kept), or its server leaves, went or was replaced (it could not connect, and the module goes on). Sending to a server that the list calls leaving is refused in the same place.

Tests: connections held up on a gate until the notice or the client's leaving has come. Four of the five fail without the mend; the fifth, with cancelling allowed, passed before.

--- a/brackenwalk/net/host.py
+++ b/brackenwalk/net/host.py
@@ -267,10 +267,12 @@
         attempt = Attempt(taken.sent, now)
         taken.sent += 1
         taken.attempts[attempt.number] = attempt
-        over = taken.closed or taken.overdue or attempt.number >= self.settings.max_attempts
         member = self.members.get(action.server)
-        if over or member is None:
-            self._finish(taken, attempt, api.Status.MOOT if over else api.Status.CONNECT_FAILED)
+        status = self._objection(taken, member)
+        if attempt.number >= self.settings.max_attempts:
+            status = api.Status.MOOT
+        if status is not None or member is None:
+            self._finish(taken, attempt, status or api.Status.CONNECT_FAILED)
             return
         time_left = taken.deadline - now
         if action.timeout is not None and action.timeout < time_left:
@@ -282,9 +284,24 @@
             self._finish(taken, attempt, status, value, report)
 
         attempt.exchange = self._pool(member).start(
-            member.address, taken.command, time_left, done, member.process
+            member.address,
+            taken.command,
+            time_left,
+            done,
+            member.process,
+            objection=lambda: self._objection(taken, member),
         )
 
+    def _objection(self, taken: Taken, member: Member | None) -> api.Status | None:
+        """How an attempt ends, none of it written, that is too late for its client or its server."""
+        if taken.closed or taken.overdue:
+            return api.Status.MOOT
+        now = self.members.get(member.entry.server) if member is not None else None
+        # guards the rule on drains: a server that has begun to leave, or went, is sent nothing new
+        if member is None or now is None or not now.entry.ready or now.process != member.process:
+            return api.Status.CONNECT_FAILED
+        return None
+
     def _cancel(self, action: api.Cancel) -> None:
         taken = self.requests.get(action.request)
         attempt = taken.attempts.get(action.attempt) if taken is not None else None
--- a/brackenwalk/net/pool.py
+++ b/brackenwalk/net/pool.py
@@ -18,6 +18,7 @@
 
 Answer = tuple[Status, bytes, bytes]  # with the value and the load report
 Done = Callable[[Status, bytes, bytes], None]
+Objection = Callable[[], Status | None]  # how an attempt ends that must not be written any more
 
 
 class MalformedAnswer(Exception):
@@ -30,11 +31,29 @@
     return host, int(port)
 
 
+def no_objection() -> Status | None:
+    """What may be written whenever its connection is up."""
+    return None
+
+
 def readable(transport: asyncio.BaseTransport) -> bool:
     """Whether bytes or an end wait on a socket that the event loop has not looked at yet."""
+    return bool(waiting(transport, select.POLLIN))
+
+
+def hung_up(transport: asyncio.BaseTransport) -> bool:
+    """Whether the peer has closed or reset, whatever it sent before that waits unread."""
+    return bool(waiting(transport, select.POLLRDHUP) & (select.POLLRDHUP | select.POLLHUP | select.POLLERR))
+
+
+def waiting(transport: asyncio.BaseTransport, events: int) -> int:
+    """What the kernel says of a socket now."""
+    number = transport.get_extra_info("socket").fileno()
+    if number < 0:
+        return select.POLLHUP
     poll = select.poll()
-    poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
-    return bool(poll.poll(0))
+    poll.register(number, events)
+    return sum(found for _, found in poll.poll(0))
 
 
 class Exchange:
@@ -184,15 +203,25 @@
         self.idle_at: dict[str, dict[Connection, None]] = {}  # of each
 
     def start(
-        self, address: str, command: Command, time_left: float, done: Done, process: object = None
+        self,
+        address: str,
+        command: Command,
+        time_left: float,
+        done: Done,
+        process: object = None,
+        *,
+        objection: Objection = no_objection,
     ) -> Exchange:
-        """Start an attempt on the process that is at an address now."""
+        """Start an attempt on the process that is at an address now.
+
+        A connection may be long in coming up: what has changed meanwhile is asked before the first byte.
+        """
         exchange = Exchange(command, time_left, done)
         kept = self._take(address, process)
         if kept is not None:
             kept.begin(exchange)
         elif self._has_room():
-            exchange.dial = asyncio.create_task(self._dial(address, process, exchange))
+            exchange.dial = asyncio.create_task(self._dial(address, process, exchange, objection))
             self.dials.add(exchange.dial)
             exchange.dial.add_done_callback(self.dials.discard)
         else:
@@ -200,7 +229,7 @@
             exchange.finish(Status.MOOT)  # not the server's fault
         return exchange
 
-    async def _dial(self, address: str, process: object, exchange: Exchange) -> None:
+    async def _dial(self, address: str, process: object, exchange: Exchange, objection: Objection) -> None:
         try:
             async with asyncio.timeout(self.dial_timeout):
                 _, connection = await asyncio.get_running_loop().create_connection(
@@ -212,7 +241,15 @@
             return
         connection.process = process
         exchange.dial = None
-        connection.begin(exchange)
+        status = objection()
+        if status is None:
+            connection.begin(exchange)
+            return
+        if status is Status.MOOT:
+            self.keep(connection)  # it is the request that is over
+        else:
+            connection.drop()
+        exchange.finish(status)
 
     def _take(self, address: str, process: object) -> Connection | None:
         """The kept connection idle for longest, if one still stands.
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
+from collections.abc import Callable
 from dataclasses import replace
 from typing import Any
 
 import pytest
 
+from brackenwalk import interface as api
 from brackenwalk.net import discovery as discoveries
+from brackenwalk.net.pool import Connection, Exchange
 from tests.loopback import HIT, SETTINGS, Link, Peer, Router, http, read, run
 from tests.test_net_discovery import LINE, message
 
@@ -63,3 +67,101 @@
     """Told six seconds after silence began, which may be the instant after a call was taken."""
     found = discoveries.WATCH_WAIT + discoveries.ANSWER_MARGIN
     assert found + PUSHED.drain_grace / 2 < 6.0
+
+
+# A connection to a server that comes up late
+
+
+class Dials:
+    """Holds up the connections to some addresses until they may come up."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, *peers: Peer) -> None:
+        self.up = asyncio.Event()
+        ports = {int(p.address.rpartition(":")[2]) for p in peers}
+        connect = asyncio.base_events.BaseEventLoop.create_connection
+
+        async def late(loop: Any, factory: Any, host: Any = None, port: Any = None, **others: Any) -> Any:
+            made = await connect(loop, factory, host, port, **others)
+            if port in ports:
+                await self.up.wait()
+            return made
+
+        monkeypatch.setattr(asyncio.base_events.BaseEventLoop, "create_connection", late)
+
+
+def requests_written(monkeypatch: pytest.MonkeyPatch) -> list[str]:
+    """The requests that the router writes to servers, in order, from now on."""
+    names: list[str] = []
+    begin = Connection.begin
+
+    def noted(connection: Connection, exchange: Exchange) -> None:
+        names.append(exchange.command.request.decode())
+        begin(connection, exchange)
+
+    monkeypatch.setattr(Connection, "begin", noted)
+    return names
+
+
+async def until(holds: Callable[[], object]) -> None:
+    """Go on once something holds that only the router's own work brings about."""
+    while not holds():
+        await asyncio.sleep(0)
+
+
+async def first_dial(router: Router) -> tuple[str, Link]:
+    """The cache server that is connected to first."""
+    await until(lambda: any(not p.links.empty() for p in router.caches.values()))
+    (name,) = (n for n, p in router.caches.items() if not p.links.empty())
+    return name, await router.caches[name].link()
+
+
+@pytest.mark.parametrize("news", ["draining", "gone", "restarted"])
+def test_a_connection_that_comes_up_after_the_notice_is_not_written_to(
+    news: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Longer in coming than drains allow, it sent to a server that had long been announced as leaving."""
+
+    async def scenario() -> None:
+        async with Router() as router:
+            dials = Dials(monkeypatch, *router.caches.values())
+            client = await router.client()
+            client.write(read("r1"))
+            name, link = await first_dial(router)
+            member = router.host.members[name]
+            told = {
+                "draining": replace(member.entry, state=api.State.DRAINING),
+                "gone": replace(member.entry, state=api.State.GONE),
+                "restarted": replace(member.entry, since=9.0),
+            }
+            router.host.list_told(api.ListKind.DELTA, [replace(member, entry=told[news])])
+            dials.up.set()
+            assert await link.ended()  # and never a byte
+            if news == "restarted":
+                served = await router.cache()  # it may well be the one that is new there
+            else:
+                served = await next(p for n, p in router.caches.items() if n != name).link()
+            assert (await served.resp())[2] == b"r1"
+            served.write(HIT)
+            assert await client.resp() == b"value"
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("may_cancel", [True, False])
+def test_a_connection_that_comes_up_after_its_client_has_left_is_not_written_to(
+    may_cancel: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def scenario() -> None:
+        async with Router(replace(SETTINGS, may_cancel=may_cancel)) as router:
+            written = requests_written(monkeypatch)
+            dials = Dials(monkeypatch, *router.caches.values())
+            client = await router.client()
+            client.write(read("r1"))
+            await first_dial(router)
+            client.close()
+            await until(lambda: not router.listener.connections)
+            dials.up.set()
+            await until(lambda: not router.servers.dials)
+            assert not written and not router.host.router.held
+
+    run(scenario)
