Send nothing on for a client that left while its connection was not read

Found by reading: a connection is not read after an error, with 32 commands unanswered, without framing or while it takes no answers; its end lies behind what is unread, so that the event loop hears nothing. Blame: ClientConnection._read_or_not, and Host._send, which trusted in being told.

Reading on would hold more for such clients than is bounded now, and a timer would leave a gap. Instead the kernel is asked for a hang-up before each attempt of a connection that is not read, also after a dial; then the connection is ended and the module is told. Price: one poll for each of these attempts, none for usual clients.

Tests: after an error, without framing, with answers not taken (each before a fetch and before a retry) and behind 32 commands, the client's end is there before the wait is over.

--- a/brackenwalk/net/clients.py
+++ b/brackenwalk/net/clients.py
@@ -12,7 +12,7 @@
 
 from brackenwalk.net.command import MAX_INFO, MAX_KEY, MAX_VALUE, CommandError, read_command
 from brackenwalk.net.host import Host
-from brackenwalk.net.pool import readable
+from brackenwalk.net.pool import hung_up, readable
 from brackenwalk.net.resp import NOT_YET, Message, Reader, RespError
 
 MAX_COMMAND = MAX_VALUE + MAX_KEY + MAX_INFO + 4096  # bytes held for a command that is not whole
@@ -100,7 +100,7 @@
         try:
             command = read_command(parts)
             slot.request = command.request.decode()
-            self.host.take(command, answer)
+            self.host.take(command, answer, self.present)
         except CommandError as e:
             slot.request = None
             # guards the other clients: one that sends errors at full speed would take the core for itself
@@ -159,6 +159,15 @@
         self.writable = True
         self._take_commands()
 
+    def present(self) -> bool:
+        """Whether the client has not left: where reading is paused, nothing else would tell."""
+        if self.transport.is_closing():
+            return False
+        if not self.reading and hung_up(self.transport):
+            self.transport.abort()
+            return False
+        return True
+
     def unread(self) -> bool:
         """Whether a command may wait in the socket."""
         return readable(self.transport)
--- a/brackenwalk/net/host.py
+++ b/brackenwalk/net/host.py
@@ -67,6 +67,7 @@
     command: Command
     deadline: float
     answer: Callable[[bytes], None]
+    present: Callable[[], bool]  # whether its client is still there, also where nobody reads from it
     expiry: asyncio.TimerHandle | None = None
     sent: int = 0  # attempts, whatever became of them
     closed: bool = False  # answered, or its client is gone
@@ -185,7 +186,7 @@
 
     # Requests
 
-    def take(self, command: Command, answer: Callable[[bytes], None]) -> None:
+    def take(self, command: Command, answer: Callable[[bytes], None], present: Callable[[], bool]) -> None:
         """Take a request that is owed one `answer`, or say why it can't be taken."""
         name = command.request.decode()
         # guards the table: two requests under one id would get each other's answers; and a client against
@@ -199,7 +200,7 @@
         if request_class.effect is api.Effect.KEYED and not command.info.get("k"):
             raise CommandError("k is missing")
         time_left = max(0.0, command.deadline_ms / 1000 - DEADLINE_MARGIN)
-        taken = self.requests[name] = Taken(command, self.clock.now() + time_left, answer)
+        taken = self.requests[name] = Taken(command, self.clock.now() + time_left, answer, present)
         taken.expiry = asyncio.get_running_loop().call_later(time_left, self._overdue, name)
         hint = command.info.get("h", "")
         request = api.Request(
@@ -294,6 +295,9 @@
 
     def _objection(self, taken: Taken, member: Member | None) -> api.Status | None:
         """How an attempt ends, none of it written, that is too late for its client or its server."""
+        name = taken.command.request.decode()
+        if not taken.closed and not taken.present():
+            self.client_gone(name)
         if taken.closed or taken.overdue:
             return api.Status.MOOT
         now = self.members.get(member.entry.server) if member is not None else None
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Callable
 from dataclasses import replace
 from typing import Any
@@ -10,9 +11,10 @@
 import pytest
 
 from brackenwalk import interface as api
+from brackenwalk.net import clients
 from brackenwalk.net import discovery as discoveries
-from brackenwalk.net.pool import Connection, Exchange
-from tests.loopback import HIT, SETTINGS, Link, Peer, Router, http, read, run
+from brackenwalk.net.pool import Connection, Exchange, hung_up
+from tests.loopback import HIT, MISS, SETTINGS, Link, Peer, Router, command, http, read, run
 from tests.test_net_discovery import LINE, message
 
 PUSHED = replace(SETTINGS, subscribe=False, drain_grace=0.5, fall_window=60.0, ramp=60.0)
@@ -165,3 +167,62 @@
             assert not written and not router.host.router.held
 
     run(scenario)
+
+
+# A client that leaves while its connection is not read
+
+
+async def left(router: Router, client: Link) -> None:
+    """The client has closed its side, and the router's machine knows."""
+    (connection,) = router.listener.connections
+    assert not connection.transport.is_reading()
+    client.writer.get_extra_info("socket").shutdown(socket.SHUT_WR)
+    await until(lambda: hung_up(connection.transport))
+
+
+@pytest.mark.parametrize("why", ["error", "framing", "slow"])
+@pytest.mark.parametrize("end", [MISS, None])  # the origin would be next, or a retry
+def test_nothing_is_sent_on_for_a_client_that_left_while_it_was_not_read(
+    why: str, end: bytes | None, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The end of a connection comes behind what is not read, and was not heard of either."""
+
+    async def scenario() -> None:
+        monkeypatch.setattr(clients, "ERROR_PAUSE", 60.0)
+        async with Router() as router:
+            written = requests_written(monkeypatch)
+            client = await router.client()
+            client.write(read("r1") + {"error": command("GET", "k"), "framing": b"noise\r\n"}.get(why, b""))
+            cache = await router.cache()
+            await cache.resp()
+            if why == "slow":  # as its transport does when it takes no answers
+                next(iter(router.listener.connections)).pause_writing()
+            await left(router, client)
+            if end is None:
+                cache.reset()
+            else:
+                cache.write(end)
+            await until(lambda: not router.host.requests)
+            assert written == ["r1"] and not router.host.router.held and router.origin.links.empty()
+            await until(lambda: not router.listener.connections)
+
+    run(scenario)
+
+
+def test_nothing_is_sent_on_for_a_pipelining_client_that_left(monkeypatch: pytest.MonkeyPatch) -> None:
+    """What it sent behind the most that is held waits unread, and so does the word that it has gone."""
+
+    async def scenario() -> None:
+        async with Router() as router:
+            written = requests_written(monkeypatch)
+            client, cache = await router.begun("r0")
+            names = [f"r{n}" for n in range(1, 2 * clients.MAX_PIPELINED)]
+            client.write(b"".join(read(n) for n in names))
+            await until(lambda: not next(iter(router.listener.connections)).transport.is_reading())
+            await left(router, client)
+            before = list(written)
+            cache.write(HIT)
+            await until(lambda: not router.listener.connections)
+            assert written == before and not router.host.router.held
+
+    run(scenario)
