Let a connection rest for 20 ms after an answer before it is used again

An answer names no request that could be checked (RESP2 and HTTP in order), so that the next request would be served with another's value, which loses it. Blame: Pool._take, which used a connection from the instant it was kept.

--- a/brackenwalk/net/pool.py
+++ b/brackenwalk/net/pool.py
@@ -14,6 +14,9 @@
 
 IDLE_MARGIN = 0.5  # seconds before the peer may close an idle connection at which it is no longer used
 ANSWER_TIME = 0.1  # seconds for the rest of an answer once it has begun: it is sent in one go
+# seconds for which a connection rests after an answer: a second one may follow some milliseconds late, and
+# would be taken for the answer to the next request (seen: 19 of them, 1.1 to 3.2 ms behind)
+REST = 0.02
 log = logging.getLogger(__name__)
 
 Answer = tuple[Status, bytes, bytes]  # with the value and the load report
@@ -92,6 +95,7 @@
         self.exchange: Exchange | None = None
         self.written = False  # whether the request's last byte is
         self.process: object = None  # that it was made to: another may come to its address
+        self.kept_at = 0.0  # since when it is idle
         self.expiry: asyncio.TimerHandle | None = None  # of its idle time, or of an answer begun
 
     @abstractmethod
@@ -191,11 +195,17 @@
     """The connections to servers that speak one protocol."""
 
     def __init__(
-        self, make: Callable[[Pool, str], Connection], budget: int, dial_timeout: float, idle: float
+        self,
+        make: Callable[[Pool, str], Connection],
+        budget: int,
+        dial_timeout: float,
+        idle: float,
+        rest: float = REST,
     ) -> None:
         self.make = make
         self.budget = budget  # of descriptors
         self.dial_timeout = dial_timeout
+        self.rest = rest
         self.idle_time = max(0.0, idle - IDLE_MARGIN)
         self.connections: set[Connection] = set()
         self.dials: set[asyncio.Task[None]] = set()
@@ -252,12 +262,15 @@
         exchange.finish(status)
 
     def _take(self, address: str, process: object) -> Connection | None:
-        """The kept connection idle for longest, if one still stands.
+        """The kept connection idle for longest, if one still stands and has had its rest.
 
         Guards against what follows a good answer after a while: on the one used last it would more likely
         come behind the next request, and be taken for its answer.
         """
+        rested = asyncio.get_running_loop().time() - self.rest
         while (connection := next(iter(self.idle_at.get(address, ())), None)) is not None:
+            if connection.process == process and connection.kept_at > rested:
+                return None  # and the others were kept later
             self._leave_idle(connection)
             usable = connection.process == process and not connection.transport.is_closing()
             # guards against resets: a close that came in since the loop last looked would lose the request
@@ -276,6 +289,7 @@
 
     def keep(self, connection: Connection) -> None:
         """Hold a connection for the next attempt until the server would close it."""
+        connection.kept_at = asyncio.get_running_loop().time()
         connection.expire_in(self.idle_time)
         self.idle[connection] = None
         self.idle_at.setdefault(connection.address, {})[connection] = None
