End a router by the longest deadline of its settings, and owe nobody anything then

A request taken after SIGTERM on an open connection, or with a deadline of over 3 s, could be found unanswered. Connections that the kernel had accepted, but not the router, were reset with their requests when the listener closed (also one just taken by a cancelled accept); connections accepted an instant before were closed before their first request; and the next look for connections to close came a turn of the loop after the last answer.

Blame: LONGEST_END in __main__; Listener._accept, cancelled from outside; Listener.stop. Now all that is taken, also after SIGTERM, is owed by 0.2 s before SIGKILL: the host cuts the deadlines, and the module is told (Ending), as what waits for a place has no attempt that could time out. The listener takes what the kernel has accepted and closes in the same step in which there is nothing more; a new client has its 50 ms; a connection closes with its last answer. Price: a request with a deadline of over 3 s fails at a restart where the process would have been killed anyway.

--- a/brackenwalk/__main__.py
+++ b/brackenwalk/__main__.py
@@ -24,7 +24,10 @@
 from brackenwalk.settings import number, read_settings, section
 
 STILL_COMING = 0.5  # seconds after SIGTERM in which new connections come: 0.2 to 0.4, and a little more
-LONGEST_END = 3.0  # seconds after those until all deadlines are past; SIGKILL may come 0.2 s later
+LONGEST_WAIT = 3.0  # SIGKILL comes no earlier than the longest deadline, or this where it is longer,
+KILL_AFTER = 0.7  # and these seconds after SIGTERM
+ANSWER_EARLY = 0.2  # before that all is answered, as the core may be busy
+CLOSE_EARLY = 0.1  # and before that the last connections are closed
 FIRST_LIST = (
     1.0  # seconds to hear of it before serving from the one known: an agent answers within ms or is down
 )
@@ -141,8 +144,11 @@
     listener.start()
     logging.info("listening on %s:%d", *listener.socket.getsockname())
     await terminated.wait()
-    logging.info("ending: no new connections in %g s", STILL_COMING)
-    await listener.stop(STILL_COMING, LONGEST_END)
+    longest = max(c.deadline for c in settings.classes.values())
+    killed = min(longest, LONGEST_WAIT) + KILL_AFTER
+    logging.info("ending: no new connections in %g s, all answered in %g s", STILL_COMING, killed)
+    host.end_within(killed - ANSWER_EARLY)
+    await listener.stop(STILL_COMING, killed - CLOSE_EARLY - STILL_COMING)
     discovery.close()
     servers.close()
     origin.close()
--- a/brackenwalk/interface.py
+++ b/brackenwalk/interface.py
@@ -80,6 +80,7 @@
     group: Group = Group.ALL
     window: float = 0.0
     worth: float = 1.0
+    deadline: float = 3.0  # for which its clients wait in all
 
 
 @dataclass(slots=True, frozen=True)
@@ -187,6 +188,13 @@
     request: str
 
 
+@dataclass(slots=True, frozen=True)
+class Ending:
+    """The router ends: whatever is owed by then must have its final answer `within` seconds."""
+
+    within: float
+
+
 @dataclass(slots=True, frozen=True)
 class TimerFired:
     """A timer set earlier is due."""
@@ -194,7 +202,7 @@
     token: str
 
 
-Event = ServerList | ListMoved | Request | Streaming | Outcome | ClientGone | TimerFired
+Event = ServerList | ListMoved | Request | Streaming | Outcome | ClientGone | Ending | TimerFired
 
 
 @dataclass(slots=True, frozen=True)
--- a/brackenwalk/net/clients.py
+++ b/brackenwalk/net/clients.py
@@ -120,6 +120,9 @@
             self.listener.note(self)
         if self.ending and not self.slots:
             self.close()
+        elif self.listener.ending and not self.slots and self.writable:
+            # at once, so that the next request is not on its way yet
+            self.end_between_requests()
         elif not self.reading and not self.ending:
             asyncio.get_running_loop().call_soon(self._take_commands)
 
@@ -133,6 +136,11 @@
         self.slots.append(slot)
         self._answer(slot, error.encode("ascii", "replace") + b"\r\n")
 
+    def end_between_requests(self) -> None:
+        """Close, unless a request has begun to come in."""
+        if not self.reader.buffer and not self.unread():
+            self.close()
+
     def close(self) -> None:
         """Close once what was written has gone out, or soon if it does not."""
         self.transport.close()
@@ -194,6 +202,8 @@
         self.changed = asyncio.Event()  # a connection has ended or fallen idle
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.tasks: list[asyncio.Task[None]] = []
+        self.knock = asyncio.Event()  # somebody connects
+        self.ending = False  # connections close as soon as nothing is owed on them
 
     def bind(self, address: tuple[str, int]) -> None:
         """Take the address; whoever connects is still refused."""
@@ -207,15 +217,40 @@
         self.tasks = [asyncio.create_task(self._accept()), asyncio.create_task(self._sweep())]
 
     async def _accept(self) -> None:
+        """Accept until the listener ends, and then what the kernel has accepted by itself before that."""
         loop = asyncio.get_running_loop()
         while True:
             try:
-                client, _ = await loop.sock_accept(self.socket)
-                await loop.connect_accepted_socket(lambda: ClientConnection(self.host, self), client)
+                client, _ = self.socket.accept()
+            except (BlockingIOError, InterruptedError):
+                if self.ending:
+                    break
+                await self._knocked()
+                continue
             except OSError as e:
                 log.warning("accept: %s", e)
                 await asyncio.sleep(ACCEPT_PAUSE)
+                continue
+            client.setblocking(False)
+            try:
+                await loop.connect_accepted_socket(lambda: ClientConnection(self.host, self), client)
+            except OSError as e:
+                log.warning("accept: %s", e)
+                client.close()
             await self._make_room()
+        # at once: what the kernel accepts from here on would be reset with its request
+        self.socket.close()
+        self.changed.set()
+
+    async def _knocked(self) -> None:
+        """Wait until somebody connects, or the listener ends."""
+        loop = asyncio.get_running_loop()
+        loop.add_reader(self.socket, self.knock.set)
+        try:
+            await self.knock.wait()
+            self.knock.clear()
+        finally:
+            loop.remove_reader(self.socket)
 
     async def _make_room(self) -> None:
         """Guards the descriptors: a client too many costs one that owes a command, or one that is idle.
@@ -286,15 +321,20 @@
     async def stop(self, still_coming: float, longest: float) -> None:
         """Accept for a while longer, then no more; end when nothing is owed to any client."""
         await asyncio.sleep(still_coming)
-        for task in self.tasks:
-            task.cancel()
-        self.socket.close()
+        self.ending = True
+        self.knock.set()
+        accepting, sweeping = self.tasks
         with suppress(TimeoutError):
             async with asyncio.timeout(longest):
-                while self.connections:
+                while self.connections or not accepting.done():
                     self.changed.clear()
-                    for connection in [*self.idle, *self.awaited]:
-                        # closed between requests: one that has begun to come in is waited for
-                        if not connection.reader.buffer and not connection.unread():
-                            connection.close()
-                    await self.changed.wait()
+                    now = asyncio.get_running_loop().time()
+                    new = (c for c, since in self.awaited.items() if now - since > GRACE)
+                    for connection in [*self.idle, *new]:
+                        connection.end_between_requests()
+                    with suppress(TimeoutError):
+                        async with asyncio.timeout(GRACE):
+                            await self.changed.wait()
+        accepting.cancel()
+        sweeping.cancel()
+        self.socket.close()
--- a/brackenwalk/net/host.py
+++ b/brackenwalk/net/host.py
@@ -108,6 +108,7 @@
         self.over: list[str] = []  # names of requests that may be forgotten
         self.events: deque[api.Event] = deque()
         self.handling = False
+        self.ends_at = math.inf  # by then nothing may be owed
 
     def post(self, event: api.Event) -> None:
         """Hand an event to the module; one that comes while actions are carried out waits its turn."""
@@ -200,7 +201,9 @@
         if request_class.effect is api.Effect.KEYED and not command.info.get("k"):
             raise CommandError("k is missing")
         time_left = max(0.0, command.deadline_ms / 1000 - DEADLINE_MARGIN)
-        taken = self.requests[name] = Taken(command, self.clock.now() + time_left, answer, present)
+        now = self.clock.now()
+        time_left = max(0.0, min(time_left, self.ends_at - now))
+        taken = self.requests[name] = Taken(command, now + time_left, answer, present)
         taken.expiry = asyncio.get_running_loop().call_later(time_left, self._overdue, name)
         hint = command.info.get("h", "")
         request = api.Request(
@@ -221,6 +224,18 @@
             self._settle(taken, name)
             self.post(api.ClientGone(name))
 
+    def end_within(self, seconds: float) -> None:
+        """Answer all that is taken, now or later, before so many seconds are over."""
+        now = self.clock.now()
+        self.ends_at = now + seconds
+        loop = asyncio.get_running_loop()
+        for name, taken in self.requests.items():
+            if taken.deadline > self.ends_at and taken.expiry is not None:
+                taken.expiry.cancel()
+                taken.deadline = self.ends_at
+                taken.expiry = loop.call_later(seconds, self._overdue, name)
+        self.post(api.Ending(seconds))
+
     def _overdue(self, name: str) -> None:
         """The deadline: attempts still out time out."""
         taken = self.requests[name]
--- a/brackenwalk/policy.py
+++ b/brackenwalk/policy.py
@@ -153,10 +153,18 @@
             self._subscribe()
         elif isinstance(event, api.ClientGone) and event.request in self.held:
             self._forget(self.held[event.request])
+        elif isinstance(event, api.Ending):
+            self._on_ending(event)
         elif isinstance(event, api.Streaming) and event.request in self.held:
             self.held[event.request].streaming = True
         return self.out
 
+    def _on_ending(self, event: api.Ending) -> None:
+        for held in self.held.values():
+            held.until = min(held.until, self.now + event.within - self.settings.tick)
+            if held.waiting:
+                self._wake_in_time(held)
+
     def _on_list(self, event: api.ServerList) -> None:
         if event.kind is api.ListKind.FAILED:
             self._ask_list_later()
--- a/brackenwalk/settings.py
+++ b/brackenwalk/settings.py
@@ -77,9 +77,11 @@
     """One class of the settings."""
     where = f"classes[{row['name']}]."
     groups = {g.value: g for g in api.Group}
+    aim = number(row, "aim", number(row, "giveUp", 1.0, where), where)
     return api.RequestClass(
         name=row["name"],
-        aim=number(row, "aim", number(row, "giveUp", 1.0, where), where),
+        aim=aim,
+        deadline=number(row, "giveUp", aim, where),
         effect=choice(row, "effect", "single_shot", EFFECTS, where),
         group=choice(row, "group", "cell", groups, where),
         window=number(row, "repeatWindow", 0.0, where),
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -3,18 +3,36 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 import socket
 from collections.abc import Callable
 from dataclasses import replace
+from pathlib import Path
 from typing import Any
 
+import hiredis
 import pytest
 
 from brackenwalk import interface as api
 from brackenwalk.net import clients
 from brackenwalk.net import discovery as discoveries
 from brackenwalk.net.pool import Connection, Exchange, hung_up
-from tests.loopback import HIT, MISS, SETTINGS, Link, Peer, Router, command, http, read, run
+from tests.loopback import (
+    BOOK,
+    HIT,
+    MISS,
+    PATIENCE,
+    READ,
+    SETTINGS,
+    Link,
+    Peer,
+    Router,
+    command,
+    http,
+    read,
+    run,
+)
+from tests.test_main import configured, listening, program_run, ready
 from tests.test_net_discovery import LINE, message
 
 PUSHED = replace(SETTINGS, subscribe=False, drain_grace=0.5, fall_window=60.0, ramp=60.0)
@@ -254,3 +272,139 @@
             assert (await cache.resp())[2] == b"r2"
 
     run(scenario)
+
+
+# The end of the router
+
+
+@pytest.mark.parametrize("wait", ["server", "origin", "place"])
+def test_all_is_answered_before_the_router_is_killed_however_long_clients_would_wait(wait: str) -> None:
+    """With a fixed time to end in, SIGKILL found unanswered what waited for servers that hang."""
+
+    async def scenario() -> None:
+        kind = replace(READ, aim=600.0, deadline=0.01)
+        async with Router(replace(SETTINGS, classes={"read": kind, "book": BOOK})) as router:
+            client = await router.client()
+            info = "c=read,t=x,d=600000"
+            if wait == "place":
+                origin = router.host.router.origins[0]
+                origin.limit = origin.load  # no room there, and none comes
+            client.write(read("r1", info=info))
+            cache = await router.cache()
+            await cache.resp()
+            if wait != "server":
+                cache.write(MISS)
+            if wait == "origin":
+                await (await router.origin.link()).http()
+            if wait == "place":
+                await until(lambda: any(h.waiting for h in router.host.router.held.values()))
+            router.host.end_within(0.05)
+            assert isinstance(await client.resp(), hiredis.ReplyError)
+            client.write(read("r2", info=info))  # and what comes after that, at once
+            assert str(await client.resp()).startswith("BUSY")
+            await until(lambda: not router.host.requests)
+
+    run(scenario)
+
+
+def test_the_time_to_end_in_follows_from_the_longest_deadline(tmp_path: Path) -> None:
+    """The hanging server's request would be cut off at the process's end, or by SIGKILL before."""
+
+    async def scenario() -> None:
+        async with Peer() as cache, Peer() as agent:
+            config = configured(cache, agent, "automatic")
+            classes = [{**row, "giveUp": 0.2, "aim": 0.2} for row in config["settings"]["classes"]]
+            config["settings"]["classes"] = classes
+            async with program_run(config, tmp_path / "config.json") as process:
+                watch = await agent.link()
+                await watch.http()
+                watch.write(http("200 OK", message(2, False)))
+                client = await ready(await listening(process.stderr))
+                client.write(read("r1", info="c=read,t=t,d=600000"))
+                await (await cache.link()).resp()
+                process.send_signal(signal.SIGTERM)
+                assert isinstance(await client.resp(), hiredis.ReplyError)
+                assert await process.wait() == 0
+
+    run(scenario)
+
+
+def test_who_waits_to_be_accepted_at_the_end_is_served() -> None:
+    """The kernel has accepted it and its request: closing the listener resets both."""
+
+    async def scenario() -> None:
+        async with Router(clients=1) as router:
+            first, cache = await router.begun()
+            second = await router.client()
+            await until(lambda: len(router.listener.connections) == 2)  # one too many, and none to be ended
+            second.write(read("r2"))
+            third = await router.client()
+            third.write(read("r3"))
+            served = await router.cache()
+            assert (await served.resp())[2] == b"r2"
+            ending = asyncio.create_task(router.listener.stop(0.0, PATIENCE))
+            await until(lambda: router.listener.ending)
+            cache.write(HIT)
+            served.write(HIT)
+            assert await first.resp() == await second.resp() == b"value"
+            assert await first.ended() and await second.ended()
+            last = await next_of(router, cache, served)
+            last.write(HIT)
+            assert await third.resp() == b"value"
+            assert await third.ended()
+            await ending
+
+    run(scenario)
+
+
+async def next_of(router: Router, *links: Link) -> Link:
+    """The link, old or new, on which the next request comes."""
+    waits = {asyncio.ensure_future(link.resp()): link for link in links}
+    fresh = asyncio.ensure_future(router.cache())
+    done, rest = await asyncio.wait([*waits, fresh], return_when=asyncio.FIRST_COMPLETED)
+    for wait in rest:
+        wait.cancel()
+    if fresh not in done:
+        return waits[done.pop()]
+    await fresh.result().resp()
+    return fresh.result()
+
+
+def test_a_client_just_accepted_at_the_end_is_let_send_its_request(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Closed with no answer it counts as refused, and many of them as lost."""
+
+    async def scenario() -> None:
+        async with Router() as router:
+            client = await router.client()
+            await until(lambda: router.listener.awaited)
+            monkeypatch.setattr(clients, "GRACE", PATIENCE)
+            ending = asyncio.create_task(router.listener.stop(0.0, PATIENCE))
+            await until(lambda: router.listener.socket.fileno() < 0)
+            client.write(read("r1"))
+            cache = await router.cache()
+            await cache.resp()
+            cache.write(HIT)
+            assert await client.resp() == b"value"
+            assert await client.ended()
+            await ending
+
+    run(scenario)
+
+
+def test_the_last_answer_of_an_ending_router_closes_its_connection() -> None:
+    """Left open for an instant longer, the next request would be on its way to a process that ends."""
+
+    async def scenario() -> None:
+        async with Router() as router:
+            client, cache = await router.begun()
+            (connection,) = router.listener.connections
+            ending = asyncio.create_task(router.listener.stop(0.0, PATIENCE))
+            await until(lambda: router.listener.ending)
+            router.host._close("r1", b"-ERR failed\r\n")
+            assert connection.transport.is_closing()
+            assert isinstance(await client.resp(), hiredis.ReplyError)
+            assert await client.ended()
+            await ending
+            del cache
+
+    run(scenario)
