Name the field of more configurations that cannot be used

Found by reading: an aim of 0 and a warm-up of 0 led to divisions by zero in the module, kinds that are no list and ports in other digits to a traceback and status 1, two classes of one name to whichever came last, and flags of any type were taken for true. Each now ends the start with status 2 and one line; after SIGHUP the old configuration stays. A warm-up of 0 counts as one of a millisecond.

--- a/brackenwalk/__main__.py
+++ b/brackenwalk/__main__.py
@@ -19,7 +19,7 @@
 from brackenwalk.net.discovery import Discovery, ListError, read_list
 from brackenwalk.net.host import Host, Member
 from brackenwalk.net.origin import OriginConnection
-from brackenwalk.net.pool import Pool, address_of
+from brackenwalk.net.pool import Pool, address_of, is_port
 from brackenwalk.net.servers import CacheConnection
 from brackenwalk.settings import number, read_settings, section
 
@@ -55,7 +55,7 @@
     """A field of the form host:port."""
     value = table.get(field)
     host, _, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
-    if not host or not port.isdigit() or int(port) > 65535:
+    if not host or not is_port(port):
         raise ConfigError(f"{field} must be host:port, not {value!r}")
     return str(value)
 
@@ -108,7 +108,7 @@
     listener = Listener(host, room // 2)
     try:
         listener.bind(config.listen)
-    except OSError as e:
+    except (OSError, ValueError) as e:  # also a host that cannot be spelled
         raise ConfigError(f"listen: {e}") from e
     host.list_told(api.ListKind.SAVED, config.known)
     if pushed:
--- a/brackenwalk/net/discovery.py
+++ b/brackenwalk/net/discovery.py
@@ -13,7 +13,7 @@
 from brackenwalk import interface as api
 from brackenwalk.net.host import Member
 from brackenwalk.net.http import HttpClient, HttpError
-from brackenwalk.net.pool import address_of
+from brackenwalk.net.pool import address_of, is_port
 
 STATES = {"in_service": api.State.READY, "terminating": api.State.DRAINING, "terminated": api.State.GONE}
 MAX_LIST = 4 * 1024 * 1024
@@ -49,7 +49,7 @@
         raise ListError(f"{where}status is unknown: {state[:40]}")
     address = field(line, "address", str, where)
     host, _, port = address.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+    if not host or not is_port(port) or not int(port):
         raise ListError(f"{where}address is not host:port: {address[:40]}")
     entry = api.ServerEntry(
         server=field(line, "name", str, where),
--- a/brackenwalk/net/pool.py
+++ b/brackenwalk/net/pool.py
@@ -34,6 +34,11 @@
     return host, int(port)
 
 
+def is_port(text: str) -> bool:
+    """Whether it is a port's number, in the digits that `int` reads."""
+    return text.isascii() and text.isdigit() and len(text) <= 5 and int(text) < 65536
+
+
 def no_objection() -> Status | None:
     """What may be written whenever its connection is up."""
     return None
@@ -245,8 +250,8 @@
                 _, connection = await asyncio.get_running_loop().create_connection(
                     lambda: self.make(self, address), *address_of(address)
                 )
-        except OSError as e:  # a time-out is one
-            full = e.errno in (errno.EMFILE, errno.ENFILE)
+        except (OSError, ValueError) as e:  # a time-out is the one, a host that cannot be spelled the other
+            full = isinstance(e, OSError) and e.errno in (errno.EMFILE, errno.ENFILE)
             exchange.finish(Status.MOOT if full else Status.CONNECT_FAILED)
             return
         connection.process = process
--- a/brackenwalk/settings.py
+++ b/brackenwalk/settings.py
@@ -7,6 +7,7 @@
 
 from brackenwalk import interface as api
 
+SHORTEST = 0.001  # seconds: what is divided by must not be nothing
 EFFECTS = {"free": api.Effect.SAFE, "guarded": api.Effect.KEYED, "single_shot": api.Effect.UNSAFE}
 
 
@@ -22,6 +23,14 @@
     return value
 
 
+def flag(table: dict[str, Any], field: str, where: str) -> bool:
+    """Read whether something is allowed; absent it is not."""
+    value = table.get(field)
+    if value not in (None, False, True):
+        raise api.SettingsError(f"settings: {where}{field} must be true or false, not {value!r}")
+    return bool(value)
+
+
 def choice(table: dict[str, Any], field: str, default: str, known: dict[str, Any], where: str) -> Any:
     """Read one of a few known words."""
     value = table.get(field)
@@ -70,6 +79,8 @@
     for i, row in enumerate(value):
         if not isinstance(row.get("name"), str):
             raise api.SettingsError(f"settings: {field}[{i}].name is missing")
+        if row["name"] in (other["name"] for other in value[:i]):
+            raise api.SettingsError(f"settings: {field}[{i}].name is there twice: {row['name']!r}")
     return value
 
 
@@ -77,11 +88,11 @@
     """One class of the settings."""
     where = f"classes[{row['name']}]."
     groups = {g.value: g for g in api.Group}
-    aim = number(row, "aim", number(row, "giveUp", 1.0, where), where)
+    aim = number(row, "aim", number(row, "giveUp", 1.0, where), where, SHORTEST)
     return api.RequestClass(
         name=row["name"],
         aim=aim,
-        deadline=number(row, "giveUp", aim, where),
+        deadline=number(row, "giveUp", aim, where, SHORTEST),
         effect=choice(row, "effect", "single_shot", EFFECTS, where),
         group=choice(row, "group", "cell", groups, where),
         window=number(row, "repeatWindow", 0.0, where),
@@ -98,17 +109,17 @@
         raise api.SettingsError("settings: classes is empty")
     limits, rules, info = section(conf, "limits"), section(conf, "rules"), section(conf, "familyInfo")
     prices = section(conf, "penalties")
-    kinds = conf.get("skus") or []
+    kinds = names(conf, "skus", "")
     origin = int(number(info, "originKind", -1, "familyInfo.", -1))
     return api.Settings(
         classes=classes,
         tick=number(conf, "resolution", 0.005, ""),
         aside=choice(info, "mode", "through", {"aside": True, "through": False}, "familyInfo."),
-        origin_kind=str(kinds[origin]) if 0 <= origin < len(kinds) else None,
+        origin_kind=kinds[origin] if 0 <= origin < len(kinds) else None,
         subscribe=choice(conf, "membershipMode", "automatic", {"subscribe": True, "automatic": False}, ""),
         live_weights=conf.get("weights") == "live",
-        second_copies=bool(limits.get("secondCopies", False)),
-        may_cancel=bool(limits.get("mayCancel", False)),
+        second_copies=flag(limits, "secondCopies", "limits."),
+        may_cancel=flag(limits, "mayCancel", "limits."),
         max_attempts=max(1, int(number(limits, "mostTries", 1, "limits."))),
         report=names(section(conf, "loadReport"), "fields", "loadReport."),
         siblings=max(1, int(number(conf, "siblings", 1, ""))),
@@ -118,7 +129,7 @@
         connection_price=number(prices, "connection", 0.0, "penalties."),
         handshake_price=number(prices, "handshake", 0.0, "penalties."),
         cold_share=number(rules, "coldFrom", 0.3, "rules."),
-        ramp=number(rules, "rampTime", 10.0, "rules."),
+        ramp=max(SHORTEST, number(rules, "rampTime", 10.0, "rules.")),
         fall_multiple=number(rules, "fallMultiple", 2.0, "rules."),
         fall_window=number(rules, "overloadFor", 1.0, "rules."),
         drain_grace=number(rules, "stopSendingWithin", 0.5, "rules."),
