Make no room at the cost of a client whose answer has not gone out whole

Blame: Listener._make_room and _sweep, which asked for unread bytes only. They now ask for unsent ones as well. So that such a client does not hold a descriptor for good it is ended after the longest deadline of the settings, when nobody waits for that answer. Tests: a client with small buffers, and another that makes room necessary; it fails without the mend. The second test is for the bound. Also a test that settings of one customer leave nothing behind for the next; it found no fault.

--- a/brackenwalk/net/clients.py
+++ b/brackenwalk/net/clients.py
@@ -180,6 +180,14 @@
         """Whether a command may wait in the socket."""
         return readable(self.transport)
 
+    def unsent(self) -> bool:
+        """Whether an answer has not gone out whole."""
+        return bool(self.transport.get_write_buffer_size())
+
+    def busy(self) -> bool:
+        """Whether something is owed although no request is open: the rest of an answer, or a new one."""
+        return self.unsent() or self.unread()
+
     def connection_lost(self, exc: Exception | None) -> None:
         self.listener.forget(self)
         for slot in self.slots:
@@ -194,6 +202,7 @@
     def __init__(self, host: Host, budget: int) -> None:
         self.host = host
         self.budget = budget
+        self.longest_wait = max(c.deadline for c in host.settings.classes.values())
         self.connections: dict[ClientConnection, None] = {}
         # connections on which nothing is owed, each since when, longest first
         self.awaited: dict[ClientConnection, float] = {}  # a first command, or the rest of one
@@ -263,8 +272,8 @@
             now = asyncio.get_running_loop().time()
             erring = (c for c in self.connections if c.paused and not c.slots and not c.ending)
             late = (c for c, since in self.awaited.items() if now - since > GRACE and not c.unread())
-            once = (c for c in self.idle if c.commands == 1 and not c.unread())
-            idle = (c for c in self.idle if not c.unread())
+            once = (c for c in self.idle if c.commands == 1 and not c.busy())
+            idle = (c for c in self.idle if not c.busy())
             victim = next(erring, None) or next(late, None) or next(once, None) or next(idle, None)
             if victim is not None:
                 self._end(victim)
@@ -283,12 +292,15 @@
                     break
                 if not connection.transport.is_closing():
                     connection.end_with("-ERR no whole command came")
+            for connection, since in list(self.idle.items()):
+                if now - since > self.longest_wait and connection.unsent():
+                    self._end(connection)  # nobody waits for that answer any more
             surplus = len(self.connections) - self.budget // 2
             for connection, since in list(self.idle.items()):
                 if surplus <= 0:
                     break
                 longest = IDLE_TIME if connection.commands > 1 else ONCE_TIME
-                if now - since > longest and not connection.unread():
+                if now - since > longest and not connection.busy():
                     self._end(connection)
                     surplus -= 1
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -304,6 +304,52 @@
     run(scenario)
 
 
+# A connection that is ended to make room
+
+
+async def slow_client(router: Router, answer: bytes) -> Link:
+    """A client that has not taken its answer, of which a part is still with the router."""
+    plain = socket.socket()
+    plain.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    plain.connect(router.listener.socket.getsockname())
+    client = Link(*await asyncio.open_connection(sock=plain, limit=1024))
+    client.write(read("r1"))
+    cache = await router.cache()
+    await cache.resp()
+    (connection,) = router.listener.connections
+    connection.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    cache.write(b"*3\r\n$%d\r\n%b\r\n$3\r\nhit\r\n$-1\r\n" % (len(answer), answer))
+    await until(lambda: connection in router.listener.idle and connection.unsent())
+    return client
+
+
+def test_a_connection_is_not_ended_for_another_before_its_answer_has_gone_out() -> None:
+    """Cut short by the router itself, the answer is lost."""
+
+    async def scenario() -> None:
+        answer = b"x" * 60_000
+        async with Router(clients=1) as router:
+            slow = await slow_client(router, answer)
+            other = await router.client()
+            other.write(command("PING"))
+            assert await other.resp() == b"PONG"  # room would have been made by now
+            assert await slow.resp() == answer
+
+    run(scenario)
+
+
+def test_a_client_that_never_takes_its_answer_does_not_stay_for_good(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario() -> None:
+        monkeypatch.setattr(clients, "SWEEP", 0.01)
+        async with Router() as router:
+            slow = await slow_client(router, b"x" * 60_000)
+            router.listener.longest_wait = 0.0
+            await until(lambda: not router.listener.connections)
+            slow.close()
+
+    run(scenario)
+
+
 # The end of the router
 
 
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -225,3 +225,40 @@
     stdin = json.dumps({"t": 1.0, "news": [{"routerId": 0, **e} for e in news]}).encode() + b"\n"
     first, second = run(stdin, "1"), run(stdin, "2")
     assert first.returncode == 0 and first.stdout == second.stdout
+
+
+def test_one_customer_leaves_no_trace_in_the_decisions_for_the_next() -> None:
+    """Classes of the same names, with other effects, limits and windows: only what was told last counts."""
+
+    def day(host: Host, t: float) -> list[list[dict[str, Any]]]:
+        lines = [row("a"), row("b"), row("o", "store")]
+        other = {
+            **CONF,
+            "classes": [
+                {"name": "read", "aim": 0.2, "giveUp": 0.4, "effect": "single_shot", "value": 9.0},
+                {"name": "pay", "aim": 0.3, "giveUp": 0.5, "effect": "free"},
+            ],
+            "limits": {"mostTries": 2},
+            "membershipMode": "automatic",
+        }
+        said = [
+            play(
+                host,
+                t,
+                {"op": "Born", "initSeed": 5, "conf": other},
+                {"op": "Membership", "scope": "SAVED", "generation": 1, "lines": lines},
+            )
+        ]
+        for n, priority in enumerate(("read", "pay", "read", "pay")):
+            name = f"n{n}"
+            said.append(play(host, t + n, ask(name, priority=priority, partitionKey=f"k{n}")))
+            said.append(play(host, t + n + 0.01, done(name, 0, "app_error")))
+            said.append(play(host, t + n + 0.02, done(name, 1, "expired")) if sends(said[-1]) else [])
+        return said
+
+    used = born()
+    for n in range(20):
+        play(used, 1.0 + n / 100, ask(f"r{n}", partitionKey=f"k{n % 3}"))
+        play(used, 1.005 + n / 100, done(f"r{n}", 0, "app_error"))
+    play(used, 9.0, {"op": "Kill"})
+    assert day(used, 10.0) == day(Host(), 10.0)
