Give the origin its time when it sends heads like 100 Continue ahead

Found by reading: Connection.data_received starts the 100 ms for the rest of an answer with its first bytes, also when these are a 1xx head, which may be as far ahead as the work takes. The answer then counted as spoilt: a failed attempt that may have run, for a keyed or unsafe write as well. The time now starts with the answer itself. Price: an origin that sends 1xx heads only holds its attempt to the deadline. Test: the answer comes after the timer would have fired; it fails without the mend.

--- a/brackenwalk/net/http.py
+++ b/brackenwalk/net/http.py
@@ -101,6 +101,10 @@
         except h11.RemoteProtocolError as e:
             raise HttpError(str(e)) from e
 
+    def begun(self) -> bool:
+        """Whether a part of the response has come: heads like 100 Continue may be long ahead of it."""
+        return bool(self.unread) or not self.heads
+
     def reusable(self) -> bool:
         """Whether another request may follow."""
         ended = self.connection.our_state is self.connection.their_state is h11.DONE
--- a/brackenwalk/net/origin.py
+++ b/brackenwalk/net/origin.py
@@ -39,5 +39,8 @@
         not_started = response.status in (503, 504) and response.headers.get(b"not-started") == b"1"
         return (Status.FULL if not_started else Status.ERROR), b"", b""
 
+    def begun(self) -> bool:
+        return self.client.begun()
+
     def reusable(self) -> bool:
         return self.client.reusable()
--- a/brackenwalk/net/pool.py
+++ b/brackenwalk/net/pool.py
@@ -115,6 +115,10 @@
     def reusable(self) -> bool:
         """Whether nothing is left over after an answer."""
 
+    def begun(self) -> bool:
+        """Whether what has come is a part of the answer, and not something ahead of it."""
+        return True
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
@@ -152,7 +156,7 @@
             self._spoilt(exchange, e)
             return
         if answer is None:
-            if self.expiry is None:
+            if self.expiry is None and self.begun():
                 loop = asyncio.get_running_loop()
                 stalled = MalformedAnswer("begun and not ended")
                 # guards the request: an answer said to be longer than it is never ends
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -16,6 +16,8 @@
 from brackenwalk import interface as api
 from brackenwalk.net import clients
 from brackenwalk.net import discovery as discoveries
+from brackenwalk.net import pool as pools
+from brackenwalk.net.origin import OriginConnection
 from brackenwalk.net.pool import Connection, Exchange, hung_up
 from tests.loopback import (
     BOOK,
@@ -275,6 +277,34 @@
     run(scenario)
 
 
+def test_a_head_ahead_of_the_answer_does_not_press_it_for_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The origin says at once that it goes on, and answers when its work is done: no answer has begun."""
+
+    async def scenario() -> None:
+        monkeypatch.setattr(pools, "ANSWER_TIME", 0.0)
+        came = asyncio.Event()
+        take = OriginConnection.data_received
+
+        def noted(connection: OriginConnection, data: bytes) -> None:
+            take(connection, data)
+            came.set()
+
+        monkeypatch.setattr(OriginConnection, "data_received", noted)
+        async with Router() as router:
+            client = await router.client()
+            client.write(book("r1"))
+            origin = await router.origin.link()
+            await origin.http()
+            origin.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            await came.wait()
+            for _ in range(5):  # a timer of no time is over
+                await asyncio.sleep(0)
+            origin.write(http("200 OK", b"receipt"))
+            assert await client.resp() == b"receipt"
+
+    run(scenario)
+
+
 # A keyed write that is sent again
 
 
