--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -227,6 +227,39 @@
     run(scenario)
 
 
+@pytest.mark.parametrize("is_read", [True, False])
+def test_nothing_is_sent_on_for_a_client_that_left_while_it_waited_for_a_place(
+    is_read: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def scenario() -> None:
+        monkeypatch.setattr(clients, "ERROR_PAUSE", 60.0)
+        async with Router() as router:
+            written = requests_written(monkeypatch)
+            module = router.host.router
+            first = await router.client()
+            first.write(book("w1"))  # takes the only place at the origin
+            origin = await router.origin.link()
+            await origin.http()
+            module.origins[0].limit = 1.0
+            client = await router.client()
+            client.write(book("w2") + (b"" if is_read else command("GET", "k")))
+            await until(lambda: "w2" in module.held and module.held["w2"].waiting)
+            connection = list(router.listener.connections)[1]
+            if is_read:
+                client.close()
+                await until(lambda: connection not in router.listener.connections)
+            else:
+                await until(lambda: not connection.transport.is_reading())
+                client.writer.get_extra_info("socket").shutdown(socket.SHUT_WR)
+                await until(lambda: hung_up(connection.transport))
+            origin.write(http("200 OK", b"receipt"))
+            assert await first.resp() == b"receipt"
+            await until(lambda: not router.host.requests)
+            assert written == ["w1"] and not module.held
+
+    run(scenario)
+
+
 def test_nothing_is_sent_on_for_a_pipelining_client_that_left(monkeypatch: pytest.MonkeyPatch) -> None:
     """What it sent behind the most that is held waits unread, and so does the word that it has gone."""
 
