Give up a call for the list without a wait after the time of its answer alone

Found by reading: the first call to a new discovery (after SIGHUP) and that of a new process ask for no wait, but were given up after 5 s like a watch. What the new discovery has counts as told 4 s after SIGHUP, so that one lost call broke the rule on drains. Blame: the one time-out in Discovery._call. Where lists are pushed such a call now has the 2 s of an answer; where they are asked for it may have to wait in turn and keeps its time. Test: the first call after a move is lost; without the mend there is no second.

--- a/brackenwalk/net/discovery.py
+++ b/brackenwalk/net/discovery.py
@@ -91,7 +91,7 @@
         self.watch: asyncio.Task[None] | None = None
         self.heard = asyncio.Event()  # that a list has been told
         # an agent answers at once; a discovery asked by all might keep a second call waiting in turn
-        self.ask_at_once = pushed
+        self.pushed = self.ask_at_once = pushed
 
     def subscribe(self) -> None:
         """Begin a watch, unless one is on."""
@@ -126,7 +126,8 @@
 
     async def _call(self) -> tuple[int, bool, list[Member]]:
         # guards against a discovery that has gone silent: what it has to tell counts as told soon after
-        async with asyncio.timeout(WATCH_WAIT + ANSWER_MARGIN):
+        at_once = self.pushed and (self.ask_at_once or self.index is None)
+        async with asyncio.timeout(ANSWER_MARGIN if at_once else WATCH_WAIT + ANSWER_MARGIN):
             reader, writer = await asyncio.open_connection(*address_of(self.address))
             try:
                 client = HttpClient(self.address, MAX_LIST)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -89,6 +89,29 @@
     assert found + PUSHED.drain_grace / 2 < 6.0
 
 
+def test_a_call_that_asks_for_no_wait_is_given_up_without_one(monkeypatch: pytest.MonkeyPatch) -> None:
+    """What a new discovery has counts as told 4 s after SIGHUP: a lost first call must not take five."""
+
+    async def scenario() -> None:
+        monkeypatch.setattr(discoveries, "WATCH_WAIT", 600.0)
+        monkeypatch.setattr(discoveries, "ANSWER_MARGIN", 0.02)
+        async with Peer() as old, Peer() as new, Router(PUSHED) as router:
+            router.watch(old, pushed=True)
+            await asked(old)  # at the start
+            await asked(old)
+            assert router.discovery is not None
+            router.discovery.move(new.address)
+            router.host.list_moved()
+            router.discovery.subscribe()
+            await asked(new)  # and lost
+            link = await asked(new)
+            link.write(http("200 OK", message(2, True, line("b", router.caches["b"]))))
+            await asked(new)
+            assert list(router.host.members) == ["b"]
+
+    run(scenario)
+
+
 # A connection to a server that comes up late
 
 
