--- a/brackenwalk/net/pool.py
+++ b/brackenwalk/net/pool.py
@@ -16,7 +16,7 @@
 ANSWER_TIME = 0.1  # seconds for the rest of an answer once it has begun: it is sent in one go
 # seconds for which a connection rests after an answer: a second one may follow some milliseconds late, and
 # would be taken for the answer to the next request (seen: 19 of them, 1.1 to 3.2 ms behind)
-REST = 0.02
+REST = 0.01
 log = logging.getLogger(__name__)
 
 Answer = tuple[Status, bytes, bytes]  # with the value and the load report
