Give the time in which a change counts as told to one budget of its calls

Cause: with lists that are asked for, a call was given up after 5 s, the pause after it doubled up to the ramp (8.9 s on our sites), and the next call took its own 2 s in turn: a change reached the router up to 15.9 s after discovery had it and could be reached, where 6 are allowed. `_ask_list_later` looked at how often calls had failed, not at how long ago the last one began; time-out, pause and answer were constants of two files that nobody added up.

Change: `interface.WatchBudget` holds the parts, and what a call waits for is what the others leave: wait + turn + pause + turn + slack = 6 s. The module keeps the time by which the next call has begun: one that is refused at once may be followed later, one that hung for all its time at once. After a new address of discovery the sum is 4 s. The call for a whole list waits for nothing and is given up after its turn. Pushed lists keep their pause within half of what drains allow; their call is given up after 4.45 s (5).

Test: tests/test_watch_budget.py, 48 cases: hanging, refused and turned-away calls in both ways, a move, two hundred routers at once. `test_subscribes_and_backs_off` now lets the first call take its time before it asks for a pause under a second; `test_silence_is_found` is replaced by the cases above, which bound the whole sum.

--- a/brackenwalk/__main__.py
+++ b/brackenwalk/__main__.py
@@ -95,16 +95,23 @@
     """Serve until SIGTERM, and then what was taken."""
     settings = config.settings
     room = config.sockets - RESERVE
-    dial, idle = settings.dial_timeout, settings.connection_idle
-    servers = Pool(CacheConnection, room * 3 // 8, dial, idle)
-    origin = Pool(OriginConnection, room // 8, dial, idle)
+    times = settings.dial_timeout, settings.connection_idle
+    servers = Pool(CacheConnection, room * 3 // 8, *times)
+    origin = Pool(OriginConnection, room // 8, *times)
 
     def subscribe() -> None:
         discovery.subscribe()
 
     host = Host(settings, config.seed, servers, origin, subscribe)
     pushed = not settings.subscribe
-    discovery = Discovery(config.discovery, config.known_index, host.list_told, host.list_failed, pushed)
+    discovery = Discovery(
+        config.discovery,
+        config.known_index,
+        host.list_told,
+        host.list_failed,
+        pushed,
+        budget=settings.watch_budget,
+    )
     listener = Listener(host, room // 2)
     try:
         listener.bind(config.listen)
--- a/brackenwalk/interface.py
+++ b/brackenwalk/interface.py
@@ -67,6 +67,46 @@
     MISS = "miss"
 
 
+LEAST_PAUSE = (
+    0.05  # seconds: the slack of every time limit; without any, a dead agent would be asked in a spin
+)
+
+
+@dataclass(slots=True, frozen=True)
+class WatchBudget:
+    """How the time is spent by whose end a change of the list counts as told, whatever became of a call.
+
+    `told_within` = `wait` + `turn` (a call is given up) + `pause` + `turn` (the next one's answer) + `slack`;
+    all in seconds. `wait` is what the other parts leave, so that no part can outgrow the sum.
+    """
+
+    turn: float = 2.0  # for which discovery may keep a call waiting in turn; an agent answers within ms
+    pause: float = 0.7  # at most, after a call that took all its time
+    slack: float = 0.3  # of a core that others keep busy
+    told_within: float = 6.0  # of the moment when discovery had the change and could be reached
+    moved_within: float = 4.0  # the same after a new address of discovery has come into force
+
+    @property
+    def wait(self) -> float:
+        """What a call asks discovery to wait for news."""
+        return self.told_within - self.slack - self.pause - 2 * self.turn
+
+    @property
+    def limit(self) -> float:
+        """After which a call that waits is given up; one that does not is after `turn`."""
+        return self.wait + self.turn
+
+    @property
+    def cycle(self) -> float:
+        """From the start of a call to the start of the next at the latest, however the first one failed."""
+        return self.limit + self.pause
+
+    @property
+    def moved_cycle(self) -> float:
+        """The same for the first call at a new address."""
+        return self.moved_within - self.slack - self.turn
+
+
 NEVER_RAN = (Status.FULL, Status.CONNECT_FAILED, Status.MOOT, Status.MISS)  # proven by the outcome itself
 
 
@@ -109,6 +149,18 @@
     fall_window: float = 1.0
     drain_grace: float = 0.5  # for which a server may still be sent to, once told that it leaves
 
+    @property
+    def watch_budget(self) -> WatchBudget:
+        """The budget of this way of getting lists.
+
+        Where they are pushed, the call is answered beside the router at no cost, and what is held there
+        counts as told whether it is asked for or not: no pause may outlast half of what drains allow.
+        """
+        if self.subscribe:
+            return WatchBudget()
+        pause = min(WatchBudget().pause, max(self.drain_grace / 2, LEAST_PAUSE))
+        return WatchBudget(turn=1.0, pause=pause)
+
 
 @dataclass(slots=True, frozen=True)
 class ServerEntry:
--- a/brackenwalk/net/discovery.py
+++ b/brackenwalk/net/discovery.py
@@ -17,10 +17,6 @@
 
 STATES = {"in_service": api.State.READY, "terminating": api.State.DRAINING, "terminated": api.State.GONE}
 MAX_LIST = 4 * 1024 * 1024
-WATCH_WAIT = (
-    3.0  # with the margin, 5 s: what a silent watch misses counts as told after 6, and asking takes time
-)
-ANSWER_MARGIN = 2.0  # for which discovery may keep a call waiting in turn
 # after an answer with no news, so that an agent that never waits is not asked in a spin; a call more than
 # 200 ms after the last answer would be a new watch, in turn with all others
 EMPTY_PAUSE = 0.05
@@ -83,12 +79,15 @@
         told: Callable[[api.ListKind, list[Member]], None],
         failed: Callable[[], None],
         pushed: bool = False,
+        *,
+        budget: api.WatchBudget | None = None,
     ) -> None:
         self.address = address
         self.index = index  # of the list held; None: from another discovery, or none
         self.told = told
         self.failed = failed
         self.watch: asyncio.Task[None] | None = None
+        self.budget = budget or api.WatchBudget()
         self.heard = asyncio.Event()  # that a list has been told
         # an agent answers at once; a discovery asked by all might keep a second call waiting in turn
         self.pushed = self.ask_at_once = pushed
@@ -125,17 +124,16 @@
         self.failed()
 
     async def _call(self) -> tuple[int, bool, list[Member]]:
+        at_once = self.index is None or self.pushed and self.ask_at_once
         # guards against a discovery that has gone silent: what it has to tell counts as told soon after
-        at_once = self.pushed and (self.ask_at_once or self.index is None)
-        async with asyncio.timeout(ANSWER_MARGIN if at_once else WATCH_WAIT + ANSWER_MARGIN):
+        async with asyncio.timeout(self.budget.turn if at_once else self.budget.limit):
             reader, writer = await asyncio.open_connection(*address_of(self.address))
             try:
                 client = HttpClient(self.address, MAX_LIST)
                 target = "/registry/instances"
                 if self.index is not None:
-                    target += (
-                        f"?after={self.index}&wait_ms={0 if self.ask_at_once else int(WATCH_WAIT * 1000)}"
-                    )
+                    wait_ms = 0 if at_once else int(self.budget.wait * 1000)
+                    target += f"?after={self.index}&wait_ms={wait_ms}"
                 writer.write(client.request("GET", target, [(b"Connection", b"close")]))
                 response = None
                 while response is None:
--- a/brackenwalk/policy.py
+++ b/brackenwalk/policy.py
@@ -44,8 +44,7 @@
 FAILURES = 3  # in a row take a server out: spoilt answers come one by one, those of a dead process together
 PAUSE = 0.5  # seconds out at first, doubled with each trial that fails; routers must not try in step
 MOST_OUT = 0.5  # share of the fleet; when more fails it is not the servers, and the others could not bear it
-LIST_PAUSE = 1.0  # seconds: silence is found after five, and what it hides counts as told after six
-LEAST_PAUSE = 0.05  # the slack of every time limit; without any, a dead agent would be asked in a spin
+SPREAD = (0.2, 1.0)  # of a pause before the next call for the list: all routers lose discovery at once
 UNHEARD = (api.Status.TIMEOUT, api.Status.CANCELLED, api.Status.MOOT)
 
 
@@ -128,6 +127,9 @@
         self.queue: list[tuple[float, int, Held]] = []  # for the origin, or any server: worth, then age
         self.queued = 0
         self.list_failures = 0
+        self.watch = settings.watch_budget
+        self.call_due = now + self.watch.cycle  # the next call for the list has begun by then,
+        self.least_pause = self.watch.pause  # but no sooner after a failure than this, jitter aside
         self.retries = RETRIES_SAVED
         self.born = self.halve_at = now
         self.taken = 0  # requests, since birth
@@ -150,6 +152,7 @@
             self._on_list(event)
         elif isinstance(event, api.ListMoved):
             self.list_failures = 0  # guards against waiting out the pause that another discovery earned
+            self.call_due, self.least_pause = now + self.watch.moved_cycle, api.LEAST_PAUSE
             self._subscribe()
         elif isinstance(event, api.ClientGone) and event.request in self.held:
             self._forget(self.held[event.request])
@@ -183,6 +186,7 @@
             else:
                 known.entry = entry
         self._build_ring()
+        self.call_due, self.least_pause = self.now + self.watch.cycle, self.watch.pause  # the watch goes on
         if event.kind is not api.ListKind.SAVED:
             self.list_failures = 0
         else:
@@ -200,16 +204,15 @@
     def _ask_list_later(self) -> None:
         """Subscribe again after a doubling, jittered pause, so that routers don't call in step.
 
-        Where lists are pushed, the call is answered beside the router at no cost, and what is held there
-        counts as told whether it is asked for or not: no pause may outlast half of what drains allow.
+        The call that failed may have begun just before discovery could be reached: whatever time it took,
+        the next has begun by the end of the cycle, or what it would bring counts as told before it comes.
         """
         self.list_failures += 1
         pause = min(self.settings.ramp, self.settings.fall_window * 2.0 ** (self.list_failures - 2))
-        if self.list_failures == 1:  # the watch before may have been silent for long
-            pause = min(pause, LIST_PAUSE)
-        if not self.settings.subscribe:
-            pause = min(pause, max(self.settings.drain_grace / 2, LEAST_PAUSE))
-        self.out.append(api.SetTimer(pause * self.random.uniform(0.5, 1.0), "list"))
+        left = self.call_due - self.now if self.settings.subscribe else self.watch.pause
+        pause = max(api.LEAST_PAUSE, min(pause, max(self.least_pause, left)) * self.random.uniform(*SPREAD))
+        self.call_due = self.now + pause + self.watch.cycle
+        self.out.append(api.SetTimer(pause, "list"))
         self.out.append(api.Log(f"list out of reach, {self.list_failures} in a row"))
 
     def _drop(self, name: str) -> None:
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -178,9 +178,10 @@
         if self.discovery is not None:
             self.discovery.subscribe()
 
-    def watch(self, agent: Peer, pushed: bool = False) -> None:
+    def watch(self, agent: Peer, pushed: bool = False, budget: api.WatchBudget | None = None) -> None:
         """Take the list from an agent from now on, as the program does."""
-        self.discovery = Discovery(agent.address, 1, self.host.list_told, self.host.list_failed, pushed)
+        told, failed = self.host.list_told, self.host.list_failed
+        self.discovery = Discovery(agent.address, 1, told, failed, pushed, budget=budget)
         self.discovery.subscribe()
 
     async def __aenter__(self) -> Self:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -15,7 +15,6 @@
 
 from brackenwalk import interface as api
 from brackenwalk.net import clients
-from brackenwalk.net import discovery as discoveries
 from brackenwalk.net import pool as pools
 from brackenwalk.net.origin import OriginConnection
 from brackenwalk.net.pool import Connection, Exchange, hung_up
@@ -53,16 +52,14 @@
 
 
 @pytest.mark.parametrize("end", ["silent", "reset", "spoilt"])
-def test_a_watch_that_dies_is_opened_anew_before_drains_must_be_kept(
-    end: str, monkeypatch: pytest.MonkeyPatch
-) -> None:
+def test_a_watch_that_dies_is_opened_anew_before_drains_must_be_kept(end: str) -> None:
     """The doubling pause would last 30 s and more here, while the agent has long been told of a drain."""
 
+    brief = api.WatchBudget(turn=0.02, pause=0.0, slack=0.0, told_within=0.06)
+
     async def scenario() -> None:
-        monkeypatch.setattr(discoveries, "WATCH_WAIT", 0.02)
-        monkeypatch.setattr(discoveries, "ANSWER_MARGIN", 0.02)
         async with Peer() as agent, Router(PUSHED) as router:
-            router.watch(agent)
+            router.watch(agent, budget=brief)
             for _ in range(3):  # in a row
                 link = await asked(agent)
                 if end == "reset":
@@ -70,7 +67,8 @@
                 elif end == "spoilt":
                     link.write(http("200 OK", b"{"))
             link = await asked(agent)
-            monkeypatch.undo()
+            assert router.discovery is not None
+            router.discovery.budget = PUSHED.watch_budget
             link.write(http("200 OK", message(2, False, line("a", router.caches["a"], "terminating"))))
             await asked(agent)  # it is held now
             client = await router.client()
@@ -83,20 +81,12 @@
     run(scenario)
 
 
-def test_silence_is_found_and_asked_about_before_what_it_hides_counts_as_told() -> None:
-    """Told six seconds after silence began, which may be the instant after a call was taken."""
-    found = discoveries.WATCH_WAIT + discoveries.ANSWER_MARGIN
-    assert found + PUSHED.drain_grace / 2 < 6.0
-
-
-def test_a_call_that_asks_for_no_wait_is_given_up_without_one(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_call_that_asks_for_no_wait_is_given_up_without_one() -> None:
     """What a new discovery has counts as told 4 s after SIGHUP: a lost first call must not take five."""
 
     async def scenario() -> None:
-        monkeypatch.setattr(discoveries, "WATCH_WAIT", 600.0)
-        monkeypatch.setattr(discoveries, "ANSWER_MARGIN", 0.02)
         async with Peer() as old, Peer() as new, Router(PUSHED) as router:
-            router.watch(old, pushed=True)
+            router.watch(old, pushed=True, budget=api.WatchBudget(turn=0.02, told_within=600.0))
             await asked(old)  # at the start
             await asked(old)
             assert router.discovery is not None
--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -17,7 +17,6 @@
 import pytest
 
 from brackenwalk import __main__ as program
-from brackenwalk.net.discovery import WATCH_WAIT
 from brackenwalk.net.pool import address_of
 from tests.loopback import HIT, PATIENCE, Link, Peer, command, http, read, run, spelled
 from tests.test_net_discovery import LINE, message
@@ -254,8 +253,9 @@
                 with pytest.raises(ConnectionRefusedError):
                     await asyncio.open_connection(*address)
                 call.write(http("200 OK", message(2, False, {**gone, "status": "terminating"})))
+                budget = program.read_config(orjson.dumps(config)).settings.watch_budget
                 call = await agent.link()
-                assert f"after=2&wait_ms={int(WATCH_WAIT * 1000)} " in (await call.http())[0]
+                assert f"after=2&wait_ms={int(budget.wait * 1000)} " in (await call.http())[0]
                 client = await ready(address)
                 for n in range(8):
                     client.write(read(f"r{n}", f"k{n}"))
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -9,7 +9,6 @@
 import pytest
 
 from brackenwalk import interface as api
-from brackenwalk.net import discovery as discoveries
 from brackenwalk.net.discovery import Discovery, ListError, read_list
 from brackenwalk.net.host import Member
 from tests.loopback import Link, Peer, http, run
@@ -33,13 +32,14 @@
 class Told:
     """What a watch tells its router, in order; a failure is None."""
 
-    def __init__(self, peer: Peer) -> None:
+    def __init__(self, peer: Peer, budget: api.WatchBudget | None = None) -> None:
         self.news: asyncio.Queue[tuple[api.ListKind, list[Member]] | None] = asyncio.Queue()
         self.watch = Discovery(
             peer.address,
             41,
             lambda kind, members: self.news.put_nowait((kind, members)),
             lambda: self.news.put_nowait(None),
+            budget=budget,
         )
         self.watch.subscribe()
 
@@ -80,7 +80,7 @@
         async with Peer() as peer:
             told = Told(peer)
             first, link = await call(peer)
-            assert first == "GET /registry/instances?after=41&wait_ms=3000 HTTP/1.1"
+            assert first == "GET /registry/instances?after=41&wait_ms=1000 HTTP/1.1"
             link.write(http("200 OK", message(43, False, {**LINE, "status": "terminating"})))
             kind, (member,) = await told.news.get() or pytest.fail()
             assert kind is api.ListKind.DELTA and member.entry.state is api.State.DRAINING
@@ -147,14 +147,12 @@
     run(scenario)
 
 
-def test_a_silent_discovery_is_given_up_soon(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_silent_discovery_is_given_up_soon() -> None:
     """What it has to tell counts as told: a router that waits on sends to servers it should have left."""
 
     async def scenario() -> None:
-        monkeypatch.setattr(discoveries, "WATCH_WAIT", 0.05)
-        monkeypatch.setattr(discoveries, "ANSWER_MARGIN", 0.05)
         async with Peer() as peer:
-            told = Told(peer)
+            told = Told(peer, api.WatchBudget(turn=0.05, pause=0.0, slack=0.0, told_within=0.15))
             _, link = await call(peer)
             assert await told.news.get() is None
             assert await link.ended()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -168,8 +168,9 @@
         d.timers.clear()
         assert d.feed(api.TimerFired(timer.token)) == [api.Subscribe()]
     assert pauses[-1] > pauses[0]
-    # found after five seconds of silence, what the watch missed counts as told after six
+    # what a silent watch missed counts as told after six seconds: most of them are gone when it is given up
     first = Driver(settings(subscribe=True, fall_window=60.0, ramp=60.0))
+    first.now += first.conf.watch_budget.limit
     assert all(t.delay <= 1.0 for t in first.feed(FAILED_CALL) if isinstance(t, api.SetTimer))
 
 
--- /dev/null
+++ b/tests/test_watch_budget.py
@@ -0,0 +1,124 @@
+"""The clock for changes of the list: time-out, pause and the next call's own time add up to one budget."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+
+import pytest
+
+from brackenwalk import interface as api
+from brackenwalk.policy import Router
+from tests.driver import Driver, entry, settings
+from tests.loopback import Peer, http, run
+from tests.test_net_discovery import LINE, Told, call, message
+
+FAILED_CALL = api.ServerList(api.ListKind.FAILED)
+WAYS = {"asked": settings(subscribe=True, fall_window=2.0, ramp=8.9), "pushed": settings(ramp=8.9)}
+# how long a call takes that fails, as a share of the time after which it is given up
+CALLS: dict[str, Callable[[int], float]] = {
+    "hangs": lambda n: 1.0,
+    "refused": lambda n: 0.0,
+    "503 in turn": lambda n: 0.66,
+    "in all ways": lambda n: (1.0, 0.0, 0.66, 0.3)[n % 4],
+}
+
+
+def subscribes(actions: list[api.Action]) -> bool:
+    return any(isinstance(a, api.Subscribe) for a in actions)
+
+
+def failed_call(d: Driver, took: float) -> float:
+    """A call that begins now and fails; answers with when the next one begins."""
+    d.now += took
+    timers = [a for a in d.feed(FAILED_CALL) if isinstance(a, api.SetTimer) and a.token == "list"]
+    d.timers.clear()
+    assert len(timers) == 1
+    d.now += timers[0].delay
+    assert subscribes(d.feed(api.TimerFired("list")))
+    return d.now
+
+
+@pytest.mark.parametrize("way", WAYS)
+@pytest.mark.parametrize("failure", CALLS)
+@pytest.mark.parametrize("seed", range(5))
+def test_a_change_is_learnt_before_it_counts_as_told(way: str, failure: str, seed: int) -> None:
+    """Discovery comes back right after a call has begun, and has a change: 6 s until that call's successor
+    is answered, after an outage of any length."""
+    conf = WAYS[way]
+    budget = conf.watch_budget
+    d = Driver(conf, seed)
+    d.list(entry("a"))
+    began = d.now
+    for n in range(40):
+        after = failed_call(d, CALLS[failure](n) * budget.limit)
+        assert after - began + budget.turn <= 6.0 - budget.slack + 1e-6
+        began = after
+
+
+@pytest.mark.parametrize("way", WAYS)
+def test_a_lost_first_call_at_a_new_address_is_made_up_for_in_time(way: str) -> None:
+    """What the new discovery has counts as told 4 s after SIGHUP."""
+    d = Driver(WAYS[way])
+    d.list(entry("a"))
+    d.wait(60.0)
+    for _ in range(4):
+        failed_call(d, 0.0)
+    moved = d.now
+    d.feed(api.ListMoved())
+    spent = failed_call(d, d.conf.watch_budget.turn) - moved
+    assert spent <= 4.0 - d.conf.watch_budget.turn + api.LEAST_PAUSE + 1e-6
+
+
+@pytest.mark.parametrize("way", WAYS)
+def test_the_parts_of_the_budget_add_up(way: str) -> None:
+    budget = WAYS[way].watch_budget
+    assert budget.wait >= 1.0 and budget.slack >= 0.05
+    parts = budget.wait + budget.turn + budget.pause + budget.turn + budget.slack
+    assert parts == pytest.approx(budget.told_within) and budget.told_within == 6.0
+
+
+@pytest.mark.parametrize("took", [0.0, 1.0])
+def test_two_hundred_routers_do_not_call_in_step(took: float) -> None:
+    """All lose discovery at one instant; the next calls are spread over the pause, also the later ones."""
+    conf = WAYS["asked"]
+    drivers = [Driver(conf, seed) for seed in range(200)]
+    for d in drivers:
+        d.list(entry("a"))
+    for _ in range(4):
+        calls = sorted(failed_call(d, took * conf.watch_budget.limit) for d in drivers)
+        most = max(sum(at <= c < at + 0.1 for c in calls) for at in calls)
+        assert most <= 60
+
+
+def test_a_call_is_given_up_by_its_budget() -> None:
+    """With a wait after its wait and turn; for a whole list, which waits for nothing, after its turn."""
+
+    async def scenario() -> None:
+        async with Peer() as peer:
+            budget = api.WatchBudget(turn=0.05, told_within=600.0)
+            told = Told(peer, budget)
+            first, link = await call(peer)
+            assert f"wait_ms={int(budget.wait * 1000)} " in first
+            told.watch.move(peer.address)
+            told.watch.subscribe()
+            assert "wait_ms" not in (await call(peer))[0]
+            assert await told.news.get() is None  # and not after ten minutes
+            told.watch.subscribe()
+            _, link = await call(peer)
+            link.write(http("200 OK", message(3, True, LINE)))
+            assert await told.news.get() is not None
+            told.watch.close()
+
+    run(scenario)
+
+
+def test_a_subscription_that_breaks_after_long_is_not_renewed_in_step() -> None:
+    """Where the list comes without calls in between, all instances lose it at once, and have no call out."""
+    conf = replace(WAYS["asked"])
+    delays = []
+    for seed in range(100):
+        router = Router(conf, seed, 0.0)
+        router.handle(0.0, api.ServerList(api.ListKind.FULL, (entry("a"),)))
+        delays += [a.delay for a in router.handle(300.0, FAILED_CALL) if isinstance(a, api.SetTimer)]
+    assert max(delays) - min(delays) > 0.4
