Tell a server the time that is left when a request is written, not when its dial began

Cause: `Exchange.time_left` was worked out where an attempt starts and written by `Connection.begin` as it was, however long `_dial` took.

Change: an exchange keeps the moment at which it ends, and the time left is worked out at the first byte.

Test: `test_an_attempt_tells_the_time_that_is_left_when_it_is_written` holds up a dial for 0.3 s; without the change it is told 1.979 s of 1.698.

--- a/brackenwalk/net/pool.py
+++ b/brackenwalk/net/pool.py
@@ -69,12 +69,16 @@
 
     def __init__(self, command: Command, time_left: float, done: Done) -> None:
         self.command = command
-        self.time_left = time_left
+        self.ends_at = asyncio.get_running_loop().time() + time_left
         self.done = done
         self.open = True
         self.dial: asyncio.Task[None] | None = None
         self.connection: Connection | None = None
 
+    def time_left(self) -> float:
+        """For how long the router still waits, in seconds: a dial may have taken much of it."""
+        return max(0.0, self.ends_at - asyncio.get_running_loop().time())
+
     def finish(self, status: Status, value: bytes = b"", report: bytes = b"") -> None:
         if self.open:
             self.open = False
@@ -131,7 +135,7 @@
         self.exchange = exchange
         self.written = False
         try:
-            data = self.encode(exchange.command, exchange.time_left)
+            data = self.encode(exchange.command, exchange.time_left())
         except Exception:
             # guards the router: what can't be sent costs its connection, and the attempt ends at once
             log.exception("request to %s", self.address)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -180,6 +180,29 @@
     run(scenario)
 
 
+def test_an_attempt_tells_the_time_that_is_left_when_it_is_written(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Told from before the dial, a server went on for long after the client had gone."""
+
+    async def scenario() -> None:
+        loop = asyncio.get_running_loop()
+        async with Router() as router:
+            dials = Dials(monkeypatch, *router.caches.values())
+            client = await router.client()
+            sent_at = loop.time()
+            client.write(read("r1"))
+            _, link = await first_dial(router)
+            await asyncio.sleep(0.3)
+            dialled = loop.time() - sent_at
+            dials.up.set()
+            info = (await link.resp())[3].decode()
+            told = int(dict(pair.split("=") for pair in info.split(","))["d"]) / 1000
+            assert 0 < told <= 2.0 - dialled + 0.001
+            link.write(HIT)
+            assert await client.resp() == b"value"
+
+    run(scenario)
+
+
 @pytest.mark.parametrize("may_cancel", [True, False])
 def test_a_connection_that_comes_up_after_its_client_has_left_is_not_written_to(
     may_cancel: bool, monkeypatch: pytest.MonkeyPatch
