--- /dev/null
+++ b/scalelab/lab.py
@@ -0,0 +1,107 @@
+"""What a kind of experiment may use: a folder, processes that are ended for it, and the time left."""
+
+from __future__ import annotations
+
+import os
+import shutil
+import signal
+import subprocess
+import tempfile
+import time
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+from types import TracebackType
+from typing import Any, Self
+
+from hdrh.histogram import HdrHistogram
+
+GRACE = 5.0  # seconds from SIGTERM to SIGKILL for all that a run has started, together
+
+
+class TimeLimit(KeyboardInterrupt):
+    """The run's time is over; as Ctrl-C, so that it passes through event loops and broad handlers."""
+
+
+@dataclass(slots=True)
+class Sample:
+    """What one measurement gave."""
+
+    metrics: dict[
+        str, float
+    ]  # unit is the suffix of the name: _s _bytes _per_s _share, _count or none for counts
+    histograms: dict[str, HdrHistogram] = field(default_factory=dict)  # microseconds
+
+
+class Lab:
+    """The surroundings of one run; on exit, however it comes, all that it started is ended, by id."""
+
+    def __init__(self, time_limit_s: float, tell: Callable[[str], None] = lambda text: None) -> None:
+        self.ends_at = time.monotonic() + time_limit_s
+        self.tell = tell
+        self.folder = Path(tempfile.mkdtemp(prefix="scalelab-"))
+        self.processes: list[subprocess.Popen[bytes]] = []
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        self.close()
+
+    def progress(self, text: str) -> None:
+        """Tell the user how far the run is."""
+        self.tell(text)
+
+    def left_s(self) -> float:
+        """Seconds until the run's time limit; 0 once it is over."""
+        return max(0.0, self.ends_at - time.monotonic())
+
+    def expired(self) -> bool:
+        """Whether the run's time is over."""
+        return self.left_s() <= 0
+
+    def spawn(self, args: Sequence[str], **popen: Any) -> subprocess.Popen[bytes]:
+        """Start a process in a group of its own, so that Ctrl-C reaches it only through this run's end.
+
+        Keywords are those of `subprocess.Popen`; raises OSError where it can't be started.
+        """
+        popen.setdefault("stdin", subprocess.DEVNULL)
+        process: subprocess.Popen[bytes] = subprocess.Popen(args, start_new_session=True, **popen)
+        self.processes.append(process)
+        return process
+
+    def stop(self, process: subprocess.Popen[bytes], grace_s: float = GRACE) -> None:
+        """End one process and what it started in its group, and reap it; one that ended is left alone."""
+        self._stop([process], grace_s)
+
+    def close(self) -> None:
+        """End all that was started and remove the folder."""
+        self._stop(self.processes, GRACE)
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+    def _stop(self, processes: Sequence[subprocess.Popen[bytes]], grace_s: float) -> None:
+        running = [p for p in processes if p.poll() is None]
+        for process in running:
+            _signal_group(process, signal.SIGTERM)
+        ends_at = time.monotonic() + grace_s
+        for process in running:
+            try:
+                process.wait(max(0.0, ends_at - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                _signal_group(process, signal.SIGKILL)
+                process.wait()
+        for process in processes:
+            for stream in (process.stdin, process.stdout, process.stderr):
+                if stream is not None:
+                    stream.close()
+        ended = set(map(id, processes))
+        self.processes = [p for p in self.processes if id(p) not in ended]
+
+
+def _signal_group(process: subprocess.Popen[bytes], number: signal.Signals) -> None:
+    """Only while it is unreaped, or its id might be another's."""
+    if process.returncode is None:
+        with contextlib.suppress(ProcessLookupError):
+            os.killpg(process.pid, number)
