--- a/scalelab/lab.py
+++ b/scalelab/lab.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import shutil
 import signal
