Scale experiments: run an experiment file, and what a list change costs a router

The kind list_change times Router.handle and the path from JSON text through Host.list_told in CPU seconds.

--- /dev/null
+++ b/scalelab/experiment.py
@@ -0,0 +1,146 @@
+"""Experiment files: their schema, and the kinds that they may name.
+
+An experiment is a TOML file: what to measure (`kind`, `[parameters]`), at which `[[sizes]]`, how often, and
+the `[[budgets]]` that the figures have to keep.
+"""
+
+from __future__ import annotations
+
+import importlib
+import pkgutil
+import tomllib
+from collections.abc import Iterator, Mapping
+from pathlib import Path
+from typing import Annotated, Any, Protocol, cast
+
+from pydantic import BaseModel, ConfigDict, Field, StrictInt, StringConstraints, ValidationError
+
+from scalelab import kinds
+from scalelab.lab import Lab, Sample
+
+LONGEST_S = 7200.0  # that a run may take
+MOST_SIZES = 100
+
+Number = StrictInt | Annotated[float, Field(strict=True, allow_inf_nan=False)]
+Positive = Annotated[Number, Field(ge=0)]
+Name = Annotated[str, StringConstraints(pattern=r"^[a-z][a-z0-9_.-]*$", max_length=60)]
+
+
+class InputError(ValueError):
+    """A file that can't be used; the message is one line that names the file and the field."""
+
+
+class Kind(Protocol):
+    """A module of `scalelab/kinds/`; it may also have SIZES, the columns that each size needs."""
+
+    Parameters: type[BaseModel]
+    METRICS: dict[str, str]
+
+    def measure(
+        self, parameters: BaseModel, size: Mapping[str, float], seed: int, lab: Lab
+    ) -> Iterator[Sample]: ...
+
+
+class Budget(BaseModel):
+    """The most that the median of a metric may be, at the sizes that have these columns."""
+
+    model_config = ConfigDict(extra="forbid")
+
+    metric: str
+    most: Number
+    at: dict[str, Number] = Field(default_factory=dict)
+
+    def holds_at(self, size: Mapping[str, float]) -> bool:
+        """Whether it speaks of this size."""
+        return all(column in size and size[column] == value for column, value in self.at.items())
+
+
+class Experiment(BaseModel):
+    """One experiment file."""
+
+    model_config = ConfigDict(extra="forbid")
+
+    name: Name
+    kind: Annotated[str, StringConstraints(pattern=r"^[a-z][a-z0-9_]*$")]
+    seed: StrictInt = Field(ge=0, lt=2**31)
+    repeats: StrictInt = Field(1, ge=1, le=100)
+    time_limit_s: Number = Field(gt=0, le=LONGEST_S)
+    parameters: dict[str, Any] = Field(default_factory=dict)
+    sizes: list[dict[str, Positive]] = Field(min_length=1, max_length=MOST_SIZES)
+    budgets: list[Budget] = Field(default_factory=list)
+
+
+def kind_names() -> list[str]:
+    """The kinds that an experiment can name."""
+    return sorted(module.name for module in pkgutil.iter_modules(kinds.__path__) if module.name[0] != "_")
+
+
+def kind_named(name: str) -> Kind:
+    """A kind's module; raises KeyError where there is none."""
+    if name not in kind_names():
+        raise KeyError(name)
+    return cast(Kind, importlib.import_module(f"{kinds.__name__}.{name}"))
+
+
+def place(path: tuple[int | str, ...]) -> str:
+    """A field as it would be written: `sizes[0].caches`."""
+    spelled = ""
+    for part in path:
+        spelled += f"[{part}]" if isinstance(part, int) else f".{part}" if spelled else part
+    return spelled
+
+
+def fault(file: Path, error: ValidationError, within: str = "", known: type[BaseModel] | None = None) -> str:
+    """The first fault that a schema found, in one line."""
+    first = error.errors(include_url=False)[0]
+    # the names of a union's members are no part of the file
+    path = tuple(p for p in first["loc"] if p not in ("int", "float", "constrained-float"))
+    field = place((within, *path) if within else path) or "file"
+    given = "" if first["type"] == "missing" else f", not {first['input']!r}"[:60]
+    said = first["msg"]
+    if first["type"] == "extra_forbidden":
+        given, said = "", "is not known"
+        if known is not None and len(path) == 1:
+            said += f"; known are {', '.join(known.model_fields)}"
+    return f"{file}: {field}: {said}{given}".replace("\n", " ")
+
+
+def read_table(file: Path) -> dict[str, Any]:
+    """A TOML file's content; raises InputError."""
+    try:
+        return tomllib.loads(file.read_text(encoding="utf-8"))
+    except OSError as e:
+        raise InputError(f"{file}: file: {e.strerror or e}") from e
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as e:
+        raise InputError(f"{file}: file: is not TOML: {e}".replace("\n", " ")) from e
+
+
+def load_experiment(file: Path) -> tuple[Experiment, Kind, BaseModel]:
+    """An experiment, its kind and that kind's parameters, all checked; raises InputError."""
+    try:
+        experiment = Experiment.model_validate(read_table(file))
+    except ValidationError as e:
+        raise InputError(fault(file, e, known=Experiment)) from e
+    if experiment.name != file.stem:
+        raise InputError(f"{file}: name: must be the file's, {file.stem!r}, not {experiment.name!r}")
+    try:
+        kind = kind_named(experiment.kind)
+    except KeyError:
+        known = ", ".join(kind_names())
+        raise InputError(f"{file}: kind: must be one of {known}, not {experiment.kind!r}") from None
+    try:
+        parameters = kind.Parameters.model_validate(experiment.parameters)
+    except ValidationError as e:
+        raise InputError(fault(file, e, "parameters", kind.Parameters)) from e
+    for i, size in enumerate(experiment.sizes):
+        for column in getattr(kind, "SIZES", ()):
+            if column not in size:
+                raise InputError(f"{file}: sizes[{i}].{column}: is missing")
+    for i, budget in enumerate(experiment.budgets):
+        if budget.metric not in kind.METRICS:
+            raise InputError(
+                f"{file}: budgets[{i}].metric: is not measured by {experiment.kind}: {budget.metric!r}"
+            )
+        if not any(budget.holds_at(size) for size in experiment.sizes):
+            raise InputError(f"{file}: budgets[{i}].at: is none of the sizes")
+    return experiment, kind, parameters
--- /dev/null
+++ b/scalelab/kinds/list_change.py
@@ -0,0 +1,310 @@
+"""What a change of the list, and a whole list, cost one router; no sockets, all in this process.
+
+Only what hosts use is called: `Router.handle`, `read_list` and `Host.list_told`, on pools that hold no
+connection.
+"""
+
+from __future__ import annotations
+
+import gc
+import statistics
+import time
+import tracemalloc
+from collections.abc import Callable, Iterator, Mapping, Sequence
+from typing import Any
+
+import numpy as np
+import orjson
+from hdrh.histogram import HdrHistogram
+from pydantic import BaseModel, ConfigDict, Field
+
+from brackenwalk import interface as api
+from brackenwalk.net.discovery import read_list
+from brackenwalk.net.host import Host
+from brackenwalk.net.origin import OriginConnection
+from brackenwalk.net.pool import Pool
+from brackenwalk.net.servers import CacheConnection
+from brackenwalk.policy import Router
+from brackenwalk.settings import read_settings
+from scalelab.lab import Lab, Sample
+
+LONGEST_US = 60_000_000  # that a histogram holds
+CHANGES = ("drain", "gone", "join", "restart", "weight")
+
+
+class Parameters(BaseModel):
+    """What is the same at all sizes."""
+
+    model_config = ConfigDict(extra="forbid")
+
+    changes: int = Field(8, ge=1, le=1000, description="changes of each sort that a sample times")
+    whole_lists: int = Field(3, ge=1, le=100, description="whole lists of each sort that a sample times")
+    zones: int = Field(51, ge=1, le=10_000, description="zones over which the caches are spread")
+    weight: float = Field(1.0, gt=0, le=1000, description="of each cache; a change of weight halves it")
+
+
+SIZES = {"caches": "page caches in the list, the origin not counted", "changes_per_s": "changes of the list"}
+METRICS = {
+    **{f"{sort}_cpu_s": f"CPU seconds of Router.handle for one {sort}, mean" for sort in CHANGES},
+    "change_cpu_s": "CPU seconds of Router.handle for a change of one entry, mean over the five sorts",
+    "change_max_cpu_s": "CPU seconds of Router.handle for a change of one entry, the longest seen",
+    "request_cpu_s": "CPU seconds of Router.handle for the first request after a change, mean",
+    "zone_cpu_s": "CPU seconds of Router.handle for one message that drains all caches of a zone, mean",
+    "first_list_cpu_s": "CPU seconds of Router.handle for a new router's first whole list, mean",
+    "same_list_cpu_s": "CPU seconds of Router.handle for a whole list in which nothing changed, mean",
+    "path_change_cpu_s": "CPU seconds from a change's JSON text through read_list and Host.list_told, mean",
+    "path_first_list_cpu_s": "CPU seconds from a first whole list's JSON text through Host.list_told, mean",
+    "path_same_list_cpu_s": "CPU seconds from an unchanged list's JSON text through Host.list_told, mean",
+    "change_bytes": "bytes of a change of one entry as JSON, without headers, mean",
+    "whole_list_bytes": "bytes of a whole list as JSON, without headers",
+    "router_bytes": "bytes that a Router holds for the list, the entries not counted (tracemalloc)",
+    "host_bytes": "bytes that a Host holds for the list, with router and entries (tracemalloc)",
+    "change_peak_bytes": "bytes above that for a moment, while it takes one change (tracemalloc)",
+    "core_share": "share of one core that changes take at changes_per_s, whole path",
+    "change_bytes_per_s": "bytes a second that changes bring at changes_per_s, without headers",
+}
+
+
+def settings_of(routers: int) -> api.Settings:
+    """A site's settings, as far as lists matter: an origin in the list, weights that are sizes."""
+    return read_settings(
+        {
+            "classes": [{"name": "page-read", "aim": 0.3, "giveUp": 1.2, "effect": "free"}],
+            "familyInfo": {"mode": "aside", "originKind": 1},
+            "skus": ["std-1c", "origin"],
+            "siblings": routers,
+            "weights": "nominal",
+        }
+    )
+
+
+def lines_of(caches: int, parameters: Parameters, rng: np.random.Generator) -> list[dict[str, Any]]:
+    """A list's entries in discovery's form, the origin last."""
+    names = rng.choice(2**32, size=caches + 1, replace=False)
+    return [
+        {
+            "name": f"s-{name:08x}",
+            "address": f"10.{i >> 16}.{i >> 8 & 255}.{i & 255}:6379",
+            "zone": f"z{i % parameters.zones}",
+            "type": "std-1c" if i < caches else "origin",
+            "group": i % 4,
+            "status": "in_service",
+            "weight": parameters.weight,
+            "since_ms": 0,
+        }
+        for i, name in enumerate(names.tolist())
+    ]
+
+
+def message(index: int, whole: bool, lines: Sequence[dict[str, Any]]) -> bytes:
+    """A list or its changes as discovery words them."""
+    return orjson.dumps({"index": index, "snapshot": whole, "endpoints": lines})
+
+
+def entries_of(text: bytes) -> tuple[api.ServerEntry, ...]:
+    """The entries of a message."""
+    return tuple(member.entry for member in read_list(orjson.loads(text))[2])
+
+
+def timed(work: Callable[..., object], *args: object) -> float:
+    """CPU seconds of this thread that a call takes."""
+    began = time.thread_time()
+    work(*args)
+    return time.thread_time() - began
+
+
+class Changes:
+    """Messages that change one entry each; after every five sorts the list is as it was."""
+
+    def __init__(self, lines: Sequence[dict[str, Any]], rng: np.random.Generator, rounds: int) -> None:
+        self.rng = rng
+        self.lines = lines[:-1]  # never the origin
+        self.rounds = rounds
+        self.index = 1
+        self.restarts = 0
+
+    def __iter__(self) -> Iterator[tuple[str | None, bytes]]:
+        """The sort of each change, None for those that only undo one, and its text."""
+        for _ in range(self.rounds):
+            for sort in CHANGES:
+                line = self.lines[int(self.rng.integers(len(self.lines)))]
+                if sort == "drain":
+                    yield sort, self._message(line, status="terminating")
+                    yield None, self._message(line)
+                elif sort == "weight":
+                    yield sort, self._message(line, weight=line["weight"] / 2)
+                    yield None, self._message(line)
+                elif sort == "restart":
+                    self.restarts += 1
+                    yield sort, self._message(line, since_ms=self.restarts)
+                elif sort == "gone":
+                    gone = line
+                    yield sort, self._message(line, status="terminated")
+                else:
+                    yield sort, self._message(gone)
+
+    def _message(self, line: dict[str, Any], **other: Any) -> bytes:
+        self.index += 1
+        return message(self.index, False, [{**line, **other}])
+
+
+class Clock:
+    """The time that a router is told: it only advances."""
+
+    def __init__(self) -> None:
+        self.time = 1e9
+
+    def tick(self) -> float:
+        self.time += 1.0
+        return self.time
+
+
+def new_host(settings: api.Settings, seed: int) -> Host:
+    """A router's host, with pools that hold no connection."""
+    servers = Pool(CacheConnection, 8, settings.dial_timeout, settings.connection_idle)
+    origin = Pool(OriginConnection, 8, settings.dial_timeout, settings.connection_idle)
+    return Host(settings, seed, servers, origin, lambda: None)
+
+
+def tell(host: Host, text: bytes) -> None:
+    """What a watch does with an answer."""
+    _, whole, members = read_list(orjson.loads(text))
+    host.list_told(api.ListKind.FULL if whole else api.ListKind.DELTA, members)
+
+
+def first_request(router: Router, now: float, number: int) -> float:
+    """CPU seconds of a request, which also meets work that a change put off; it is then answered."""
+    name = f"r{number}"
+    request = api.Request(name, "page-read", 1.2, f"page:{number}")
+    began = time.thread_time()
+    actions = router.handle(now, request)
+    spent = time.thread_time() - began
+    for action in actions:
+        if isinstance(action, api.Send):
+            router.handle(now + 0.01, api.Outcome(name, 0, api.Status.OK, True, 0.01))
+    return spent
+
+
+def measure_router(
+    settings: api.Settings, lines: Sequence[dict[str, Any]], parameters: Parameters, seed: int
+) -> tuple[dict[str, float], HdrHistogram]:
+    """The decision module alone, told entries that are read already."""
+    whole = entries_of(message(1, True, lines))
+    clock = Clock()
+    first, same = [], []
+    router = Router(settings, seed, clock.tick())
+    for _ in range(parameters.whole_lists):
+        router = Router(settings, seed, clock.tick())
+        event = api.ServerList(api.ListKind.FULL, whole)
+        first.append(timed(router.handle, clock.tick(), event))
+        same.append(timed(router.handle, clock.tick(), event))
+    spent: dict[str, list[float]] = {sort: [] for sort in CHANGES}
+    requests: list[float] = []
+    histogram = HdrHistogram(1, LONGEST_US, 3)
+    for sort, text in Changes(lines, np.random.default_rng(seed), parameters.changes):
+        event = api.ServerList(api.ListKind.DELTA, entries_of(text))
+        cost = timed(router.handle, clock.tick(), event)
+        requests.append(first_request(router, clock.tick(), len(requests)))
+        if sort is not None:
+            spent[sort].append(cost)
+            histogram.record_value(min(LONGEST_US, max(1, round(cost * 1e6))))
+    zone = [{**line, "status": "terminating"} for line in lines[:-1] if line["zone"] == lines[0]["zone"]]
+    lost, back = entries_of(message(1, False, zone)), tuple(e for e in whole if e.zone == whole[0].zone)
+    zones = []
+    for _ in range(parameters.whole_lists):
+        zones.append(timed(router.handle, clock.tick(), api.ServerList(api.ListKind.DELTA, lost)))
+        router.handle(clock.tick(), api.ServerList(api.ListKind.DELTA, back))
+    means = {f"{sort}_cpu_s": statistics.fmean(costs) for sort, costs in spent.items() if costs}
+    return {
+        **means,
+        "change_cpu_s": statistics.fmean(means.values()),
+        "change_max_cpu_s": max(cost for costs in spent.values() for cost in costs),
+        "request_cpu_s": statistics.fmean(requests),
+        "zone_cpu_s": statistics.fmean(zones),
+        "first_list_cpu_s": statistics.fmean(first),
+        "same_list_cpu_s": statistics.fmean(same),
+    }, histogram
+
+
+def measure_path(
+    settings: api.Settings, lines: Sequence[dict[str, Any]], parameters: Parameters, seed: int
+) -> tuple[dict[str, float], HdrHistogram]:
+    """All that a list costs once its bytes are there: text, entries, table, decision module."""
+    whole = message(1, True, lines)
+    first, same, spent, sizes = [], [], [], []
+    for _ in range(parameters.whole_lists):
+        host = new_host(settings, seed)
+        first.append(timed(tell, host, whole))
+        same.append(timed(tell, host, whole))
+    histogram = HdrHistogram(1, LONGEST_US, 3)
+    for sort, text in Changes(lines, np.random.default_rng(seed), parameters.changes):
+        cost = timed(tell, host, text)
+        if sort is not None:
+            spent.append(cost)
+            sizes.append(len(text))
+            histogram.record_value(min(LONGEST_US, max(1, round(cost * 1e6))))
+    return {
+        "path_change_cpu_s": statistics.fmean(spent),
+        "path_first_list_cpu_s": statistics.fmean(first),
+        "path_same_list_cpu_s": statistics.fmean(same),
+        "change_bytes": statistics.fmean(sizes),
+        "whole_list_bytes": float(len(whole)),
+    }, histogram
+
+
+def measure_memory(
+    settings: api.Settings, lines: Sequence[dict[str, Any]], parameters: Parameters, seed: int
+) -> dict[str, float]:
+    """What the interpreter allocates, with every allocation traced; nothing is timed meanwhile."""
+    whole = message(1, True, lines)
+    entries = entries_of(whole)
+    change = next(text for _, text in Changes(lines, np.random.default_rng(seed), 1))
+    tracemalloc.start()
+    try:
+        before = held()
+        router = Router(settings, seed, 1e9)
+        router.handle(1e9, api.ServerList(api.ListKind.FULL, entries))
+        router_bytes = held() - before
+        del router
+        before = held()
+        host = new_host(settings, seed)
+        tell(host, whole)
+        host_bytes = held() - before
+        before = held()
+        tracemalloc.reset_peak()
+        tell(host, change)
+        peak = tracemalloc.get_traced_memory()[1] - before
+    finally:
+        tracemalloc.stop()
+    return {
+        "router_bytes": float(router_bytes),
+        "host_bytes": float(host_bytes),
+        "change_peak_bytes": float(peak),
+    }
+
+
+def held() -> int:
+    """Bytes allocated and not garbage."""
+    gc.collect()
+    return tracemalloc.get_traced_memory()[0]
+
+
+def measure(parameters: Parameters, size: Mapping[str, float], seed: int, lab: Lab) -> Iterator[Sample]:
+    """One sample; CPU seconds are of this thread alone, so that a busy machine adds little to them."""
+    caches, changes_per_s = int(size["caches"]), float(size["changes_per_s"])
+    settings = settings_of(int(size.get("routers", 1)))
+    lines = lines_of(caches, parameters, np.random.default_rng(seed))
+    gc.collect()
+    gc.freeze()  # what the rig itself holds is not a router's to collect
+    try:
+        lab.progress("decision module")
+        metrics, change = measure_router(settings, lines, parameters, seed)
+        lab.progress("whole path")
+        more, path = measure_path(settings, lines, parameters, seed)
+        lab.progress("memory")
+        metrics |= more | measure_memory(settings, lines, parameters, seed)
+    finally:
+        gc.unfreeze()
+    metrics["core_share"] = changes_per_s * metrics["path_change_cpu_s"]
+    metrics["change_bytes_per_s"] = changes_per_s * metrics["change_bytes"]
+    yield Sample(metrics, {"change_us": change, "path_change_us": path})
--- a/scalelab/lab.py
+++ b/scalelab/lab.py
@@ -9,7 +9,7 @@
 import subprocess
 import tempfile
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 from types import TracebackType
@@ -42,6 +42,27 @@
         self.tell = tell
         self.folder = Path(tempfile.mkdtemp(prefix="scalelab-"))
         self.processes: list[subprocess.Popen[bytes]] = []
+        self.shields = 0  # while any is up, an interruption waits
+        self.interruption: KeyboardInterrupt | None = None
+
+    def interrupt(self, error: KeyboardInterrupt) -> None:
+        """End the run, from a signal handler: once, and not between a process's start and its noting."""
+        if self.interruption is None:
+            self.interruption = error
+            if not self.shields:
+                raise error
+
+    @contextlib.contextmanager
+    def shielded(self) -> Iterator[None]:
+        """What must not be broken off; an interruption that came meanwhile follows it."""
+        before = self.interruption
+        self.shields += 1
+        try:
+            yield
+        finally:
+            self.shields -= 1
+        if not self.shields and self.interruption is not None and before is None:
+            raise self.interruption
 
     def __enter__(self) -> Self:
         return self
@@ -69,8 +90,9 @@
         Keywords are those of `subprocess.Popen`; raises OSError where it can't be started.
         """
         popen.setdefault("stdin", subprocess.DEVNULL)
-        process: subprocess.Popen[bytes] = subprocess.Popen(args, start_new_session=True, **popen)
-        self.processes.append(process)
+        with self.shielded():
+            process: subprocess.Popen[bytes] = subprocess.Popen(args, start_new_session=True, **popen)
+            self.processes.append(process)
         return process
 
     def stop(self, process: subprocess.Popen[bytes], grace_s: float = GRACE) -> None:
@@ -78,7 +100,8 @@
         self._stop([process], grace_s)
 
     def close(self) -> None:
-        """End all that was started and remove the folder."""
+        """End all that was started and remove the folder; takes `GRACE` s at most and isn't interrupted."""
+        self.shields += 1
         self._stop(self.processes, GRACE)
         shutil.rmtree(self.folder, ignore_errors=True)
 
