--- a/scalelab/__main__.py
+++ b/scalelab/__main__.py
@@ -11,7 +11,7 @@
 from pydantic import BaseModel
 
 from scalelab import log
-from scalelab.experiment import InputError, kind_named, kind_names, load_experiment
+from scalelab.experiment import InputError, kind_named, kind_names, load_experiment, size_schema
 from scalelab.runner import run as run_experiment
 
 KEPT, BROKEN, BAD_INPUT, FAILED, INTERRUPTED = 0, 1, 2, 3, 130
@@ -79,6 +79,8 @@
     path = out / f"{checked.name}{'.' if label else ''}{label}.json"
     try:
         result, broken_off = run_experiment(checked, kind, parameters, path)
+    except InputError:  # that only measuring could find
+        raise
     except Exception:
         structlog.get_logger().exception("measurement failed", experiment=checked.name)
         sys.exit(FAILED)
@@ -105,10 +107,9 @@
     click.echo((module.__doc__ or "").strip())
     click.echo("\n[parameters]")
     _fields(module.Parameters)
-    if sizes := getattr(module, "SIZES", None):
+    if (size := size_schema(module)) is not None:
         click.echo("\n[[sizes]]")
-        for name, meaning in sizes.items():
-            click.echo(f"  {name:22}{meaning}")
+        _fields(size)
     click.echo("\nMetrics")
     for name, meaning in module.METRICS.items():
         click.echo(f"  {name:22}{meaning}")
@@ -141,10 +142,16 @@
 def main() -> None:
     """The program; bad input ends it with one line."""
     try:
-        cli.main(standalone_mode=True)
+        status = cli.main(standalone_mode=False)
+    except click.ClickException as e:
+        e.show()
+        status = e.exit_code
+    except click.Abort:
+        status = INTERRUPTED
     except InputError as e:
         click.echo(str(e), err=True)
-        sys.exit(BAD_INPUT)
+        status = BAD_INPUT
+    sys.exit(status)
 
 
 if __name__ == "__main__":
--- a/scalelab/experiment.py
+++ b/scalelab/experiment.py
@@ -7,13 +7,23 @@
 from __future__ import annotations
 
 import importlib
+import math
 import pkgutil
 import tomllib
 from collections.abc import Iterator, Mapping
 from pathlib import Path
 from typing import Annotated, Any, Protocol, cast
 
-from pydantic import BaseModel, ConfigDict, Field, StrictInt, StringConstraints, ValidationError
+from pydantic import (
+    AfterValidator,
+    BaseModel,
+    ConfigDict,
+    Field,
+    PlainValidator,
+    StrictInt,
+    StringConstraints,
+    ValidationError,
+)
 
 from scalelab import kinds
 from scalelab.lab import Lab, Sample
@@ -21,8 +31,23 @@
 LONGEST_S = 7200.0  # that a run may take
 MOST_SIZES = 100
 
-Number = StrictInt | Annotated[float, Field(strict=True, allow_inf_nan=False)]
-Positive = Annotated[Number, Field(ge=0)]
+
+def finite(value: object) -> object:
+    """A number as TOML has it: whole numbers stay so; true, NaN and texts are none."""
+    if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
+        raise ValueError("must be a finite number")
+    return value
+
+
+def not_negative(value: object) -> object:
+    """A number of at least 0."""
+    if isinstance(value, int | float) and value < 0:
+        raise ValueError("must be at least 0")
+    return value
+
+
+Number = Annotated[int | float, PlainValidator(finite)]
+NotNegative = Annotated[int | float, PlainValidator(finite), AfterValidator(not_negative)]
 Name = Annotated[str, StringConstraints(pattern=r"^[a-z][a-z0-9_.-]*$", max_length=60)]
 
 
@@ -31,7 +56,7 @@
 
 
 class Kind(Protocol):
-    """A module of `scalelab/kinds/`; it may also have SIZES, the columns that each size needs."""
+    """A module of `scalelab/kinds/`; it may also have `Size`, a schema of the columns of each size."""
 
     Parameters: type[BaseModel]
     METRICS: dict[str, str]
@@ -64,9 +89,9 @@
     kind: Annotated[str, StringConstraints(pattern=r"^[a-z][a-z0-9_]*$")]
     seed: StrictInt = Field(ge=0, lt=2**31)
     repeats: StrictInt = Field(1, ge=1, le=100)
-    time_limit_s: Number = Field(gt=0, le=LONGEST_S)
+    time_limit_s: float = Field(gt=0, le=LONGEST_S, strict=True)
     parameters: dict[str, Any] = Field(default_factory=dict)
-    sizes: list[dict[str, Positive]] = Field(min_length=1, max_length=MOST_SIZES)
+    sizes: list[dict[str, NotNegative]] = Field(min_length=1, max_length=MOST_SIZES)
     budgets: list[Budget] = Field(default_factory=list)
 
 
@@ -82,6 +107,11 @@
     return cast(Kind, importlib.import_module(f"{kinds.__name__}.{name}"))
 
 
+def size_schema(kind: Kind) -> type[BaseModel] | None:
+    """The schema of a kind's sizes, where it has one."""
+    return cast(type[BaseModel] | None, getattr(kind, "Size", None))
+
+
 def place(path: tuple[int | str, ...]) -> str:
     """A field as it would be written: `sizes[0].caches`."""
     spelled = ""
@@ -90,14 +120,18 @@
     return spelled
 
 
-def fault(file: Path, error: ValidationError, within: str = "", known: type[BaseModel] | None = None) -> str:
+def fault(
+    file: Path,
+    error: ValidationError,
+    within: tuple[int | str, ...] = (),
+    known: type[BaseModel] | None = None,
+) -> str:
     """The first fault that a schema found, in one line."""
     first = error.errors(include_url=False)[0]
-    # the names of a union's members are no part of the file
-    path = tuple(p for p in first["loc"] if p not in ("int", "float", "constrained-float"))
-    field = place((within, *path) if within else path) or "file"
+    path = first["loc"]
+    field = place((*within, *path)) or "file"
     given = "" if first["type"] == "missing" else f", not {first['input']!r}"[:60]
-    said = first["msg"]
+    said = first["msg"].removeprefix("Value error, ")
     if first["type"] == "extra_forbidden":
         given, said = "", "is not known"
         if known is not None and len(path) == 1:
@@ -131,11 +165,13 @@
     try:
         parameters = kind.Parameters.model_validate(experiment.parameters)
     except ValidationError as e:
-        raise InputError(fault(file, e, "parameters", kind.Parameters)) from e
+        raise InputError(fault(file, e, ("parameters",), kind.Parameters)) from e
     for i, size in enumerate(experiment.sizes):
-        for column in getattr(kind, "SIZES", ()):
-            if column not in size:
-                raise InputError(f"{file}: sizes[{i}].{column}: is missing")
+        if (schema := size_schema(kind)) is not None:
+            try:
+                schema.model_validate(size)
+            except ValidationError as e:
+                raise InputError(fault(file, e, ("sizes", i), schema)) from e
     for i, budget in enumerate(experiment.budgets):
         if budget.metric not in kind.METRICS:
             raise InputError(
--- a/scalelab/kinds/list_change.py
+++ b/scalelab/kinds/list_change.py
@@ -43,7 +43,18 @@
     weight: float = Field(1.0, gt=0, le=1000, description="of each cache; a change of weight halves it")
 
 
-SIZES = {"caches": "page caches in the list, the origin not counted", "changes_per_s": "changes of the list"}
+class Size(BaseModel):
+    """The columns of a size."""
+
+    model_config = ConfigDict(extra="forbid")
+
+    routers: int = Field(1, ge=1, le=1_000_000, strict=True, description="siblings, as the settings say")
+    caches: int = Field(
+        ge=1, le=100_000, strict=True, description="page caches in the list, beside the origin"
+    )
+    changes_per_s: float = Field(ge=0, description="changes of the list a second")
+
+
 METRICS = {
     **{f"{sort}_cpu_s": f"CPU seconds of Router.handle for one {sort}, mean" for sort in CHANGES},
     "change_cpu_s": "CPU seconds of Router.handle for a change of one entry, mean over the five sorts",
