Tests of the scale experiments: faults, exit statuses, and that what was measured stays

Cause: nothing held the rig to its word on bad input, Ctrl-C and its time limit. Change: 25 tests; an unknown field is named before a missing one, as the one is most often the other mistyped.

--- a/scalelab/experiment.py
+++ b/scalelab/experiment.py
@@ -58,8 +58,11 @@
 class Kind(Protocol):
     """A module of `scalelab/kinds/`; it may also have `Size`, a schema of the columns of each size."""
 
-    Parameters: type[BaseModel]
-    METRICS: dict[str, str]
+    @property
+    def Parameters(self) -> type[BaseModel]: ...
+
+    @property
+    def METRICS(self) -> dict[str, str]: ...
 
     def measure(
         self, parameters: BaseModel, size: Mapping[str, float], seed: int, lab: Lab
@@ -88,7 +91,7 @@
     name: Name
     kind: Annotated[str, StringConstraints(pattern=r"^[a-z][a-z0-9_]*$")]
     seed: StrictInt = Field(ge=0, lt=2**31)
-    repeats: StrictInt = Field(1, ge=1, le=100)
+    repeats: StrictInt = Field(default=1, ge=1, le=100)
     time_limit_s: float = Field(gt=0, le=LONGEST_S, strict=True)
     parameters: dict[str, Any] = Field(default_factory=dict)
     sizes: list[dict[str, NotNegative]] = Field(min_length=1, max_length=MOST_SIZES)
@@ -126,8 +129,9 @@
     within: tuple[int | str, ...] = (),
     known: type[BaseModel] | None = None,
 ) -> str:
-    """The first fault that a schema found, in one line."""
-    first = error.errors(include_url=False)[0]
+    """One fault that a schema found, in one line."""
+    # a field that is not known comes first: it is most often the one that another is missing
+    first = min(error.errors(include_url=False), key=lambda e: e["type"] != "extra_forbidden")
     path = first["loc"]
     field = place((*within, *path)) or "file"
     given = "" if first["type"] == "missing" else f", not {first['input']!r}"[:60]
--- a/scalelab/kinds/list_change.py
+++ b/scalelab/kinds/list_change.py
@@ -37,10 +37,14 @@
 
     model_config = ConfigDict(extra="forbid")
 
-    changes: int = Field(8, ge=1, le=1000, description="changes of each sort that a sample times")
-    whole_lists: int = Field(3, ge=1, le=100, description="whole lists of each sort that a sample times")
-    zones: int = Field(51, ge=1, le=10_000, description="zones over which the caches are spread")
-    weight: float = Field(1.0, gt=0, le=1000, description="of each cache; a change of weight halves it")
+    changes: int = Field(default=8, ge=1, le=1000, description="changes of each sort that a sample times")
+    whole_lists: int = Field(
+        default=3, ge=1, le=100, description="whole lists of each sort that a sample times"
+    )
+    zones: int = Field(default=51, ge=1, le=10_000, description="zones over which the caches are spread")
+    weight: float = Field(
+        default=1.0, gt=0, le=1000, description="of each cache; a change of weight halves it"
+    )
 
 
 class Size(BaseModel):
@@ -48,7 +52,9 @@
 
     model_config = ConfigDict(extra="forbid")
 
-    routers: int = Field(1, ge=1, le=1_000_000, strict=True, description="siblings, as the settings say")
+    routers: int = Field(
+        default=1, ge=1, le=1_000_000, strict=True, description="siblings, as the settings say"
+    )
     caches: int = Field(
         ge=1, le=100_000, strict=True, description="page caches in the list, beside the origin"
     )
--- /dev/null
+++ b/tests/test_scalelab.py
@@ -0,0 +1,221 @@
+"""The rig of the scale experiments: what it refuses, its exit statuses, and that what it measured stays."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Iterator, Mapping
+from pathlib import Path
+
+import pytest
+from hdrh.histogram import HdrHistogram
+from pydantic import BaseModel
+
+from scalelab.experiment import Experiment, InputError, load_experiment
+from scalelab.lab import Lab, Sample
+from scalelab.results import Result, decode, load_result
+from scalelab.runner import run
+from scalelab.target import TARGET, load_target
+
+ROOT = Path(__file__).parent.parent
+PATIENCE_S = 120.0
+SMALL = """
+name = "small"
+kind = "list_change"
+seed = 3
+time_limit_s = 60
+[parameters]
+changes = 1
+whole_lists = 1
+[[sizes]]
+caches = 5
+changes_per_s = 0.5
+[[sizes]]
+caches = 20
+changes_per_s = 0.5
+[[budgets]]
+metric = "whole_list_bytes"
+most = 1e6
+at = { caches = 20 }
+"""
+
+
+def written(folder: Path, old: str = "", new: str = "") -> Path:
+    """The small experiment, with one thing changed."""
+    assert old in SMALL
+    file = folder / "small.toml"
+    file.write_text(SMALL.replace(old, new, 1))
+    return file
+
+
+def command(*args: str | Path) -> list[str]:
+    return [sys.executable, "-m", "scalelab", *map(str, args)]
+
+
+def called(*args: str | Path) -> subprocess.CompletedProcess[str]:
+    return subprocess.run(
+        command(*args), cwd=ROOT, capture_output=True, text=True, timeout=PATIENCE_S, check=False
+    )
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "field"),
+    [
+        ("seed = 3", "seed = = 3", "file"),
+        ("seed = 3", "", "seed"),
+        ("seed = 3", "seed = -3", "seed"),
+        ("seed = 3", "sede = 3", "sede"),
+        ('"small"', '"other"', "name"),
+        ('"list_change"', '"list_chnge"', "kind"),
+        ("time_limit_s = 60", "time_limit_s = inf", "time_limit_s"),
+        ("changes = 1", "changes = 0", "parameters.changes"),
+        ("changes = 1", "chnges = 1", "parameters.chnges"),
+        ("caches = 5", "caches = true", "sizes[0].caches"),
+        ("caches = 5", "caches = -5", "sizes[0].caches"),
+        ("caches = 5", "", "sizes[0].caches"),
+        ("whole_list_bytes", "whole_list_byte", "budgets[0].metric"),
+        ("most = 1e6", "most = nan", "budgets[0].most"),
+        ("{ caches = 20 }", "{ caches = 21 }", "budgets[0].at"),
+    ],
+)
+def test_a_fault_is_named_by_file_and_field(tmp_path: Path, old: str, new: str, field: str) -> None:
+    file = written(tmp_path, old, new)
+    with pytest.raises(InputError) as refused:
+        load_experiment(file)
+    assert str(refused.value).startswith(f"{file}: {field}: ")
+    assert "\n" not in str(refused.value)
+
+
+def test_every_experiment_of_the_repository_can_be_run() -> None:
+    files = {*(ROOT / "scalelab" / "experiments").glob("*.toml")} - {TARGET}
+    assert files
+    for file in files:
+        load_experiment(file)
+
+
+def test_the_target_is_read_and_its_faults_are_named(tmp_path: Path) -> None:
+    assert load_target().target.caches > load_target().today.caches
+    file = tmp_path / "target.toml"
+    file.write_text(TARGET.read_text().replace("caches = 840", "caches = 0"))
+    with pytest.raises(InputError, match=r"target\.toml: target\.caches: "):
+        load_target(file)
+
+
+def test_a_small_run_measures_both_sizes(tmp_path: Path) -> None:
+    done = called("run", written(tmp_path), "--out", tmp_path)
+    assert done.returncode == 0, done.stderr
+    result = load_result(tmp_path / "small.json")
+    assert result.complete
+    assert [s.size["caches"] for s in result.samples] == [5, 20]
+    small, large = (s.metrics for s in result.samples)
+    assert set(small) == set(large) == set(result.metrics)
+    assert all(value > 0 for value in large.values())
+    assert small["whole_list_bytes"] < large["whole_list_bytes"]
+    assert small["router_bytes"] < large["router_bytes"]
+    # five sorts, once each
+    assert decode(result.samples[0].histograms["change_us"]).get_total_count() == 5
+
+
+def test_a_broken_budget_is_status_1_and_the_result_stays(tmp_path: Path) -> None:
+    done = called("run", written(tmp_path, "most = 1e6", "most = 1"), "--out", tmp_path, "--label", "trial")
+    assert done.returncode == 1
+    assert "whole_list_bytes at caches 20" in done.stdout
+    assert load_result(tmp_path / "small.trial.json").complete
+
+
+def test_bad_input_is_status_2_and_one_line(tmp_path: Path) -> None:
+    for name in ("small.toml", "absent.toml"):
+        written(tmp_path, "seed = 3", "seed = 0.5")
+        done = called("run", tmp_path / name)
+        assert done.returncode == 2
+        assert len(done.stderr.splitlines()) == 1
+        assert name in done.stderr
+
+
+def test_ctrl_c_keeps_what_was_measured(tmp_path: Path) -> None:
+    """The second size is too large to end by itself in this test."""
+    file = written(tmp_path, "whole_lists = 1\n", "whole_lists = 100\n")
+    file.write_text(file.read_text().replace("caches = 20", "caches = 2000"))
+    path = tmp_path / "small.json"
+    with subprocess.Popen(
+        command("run", file, "--out", tmp_path), cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.PIPE
+    ) as process:
+        try:
+            until = time.monotonic() + PATIENCE_S
+            while not path.exists() and time.monotonic() < until:
+                time.sleep(0.02)
+            process.send_signal(signal.SIGINT)
+            process.communicate(timeout=PATIENCE_S)
+        finally:
+            process.kill()
+    assert process.returncode == 130
+    result = load_result(path)
+    assert not result.complete
+    assert [s.size["caches"] for s in result.samples] == [5]
+    assert not list(tmp_path.glob("*.tmp"))
+
+
+class NoParameters(BaseModel):
+    """None are needed."""
+
+
+class Stub:
+    """A kind that yields one sample, starts a process, and waits in an event loop."""
+
+    Parameters = NoParameters
+    METRICS = {"waits_count": "waits begun"}
+
+    def __init__(self, number: signal.Signals | None) -> None:
+        self.number = number
+        self.process: subprocess.Popen[bytes] | None = None
+
+    def measure(
+        self, parameters: BaseModel, size: Mapping[str, float], seed: int, lab: Lab
+    ) -> Iterator[Sample]:
+        histogram = HdrHistogram(1, 1000, 2)
+        histogram.record_value(7)
+        yield Sample({"waits_count": 1.0}, {"wait_us": histogram})
+        self.process = lab.spawn(["sleep", "600"])
+        asyncio.run(self._wait())
+
+    async def _wait(self) -> None:
+        if self.number is not None:
+            asyncio.get_running_loop().call_soon(os.kill, os.getpid(), self.number)
+        await asyncio.sleep(600)
+
+
+def played(stub: Stub, path: Path, time_limit_s: float) -> tuple[Result, bool]:
+    experiment = Experiment(
+        name="stub", kind="stub", seed=1, time_limit_s=time_limit_s, sizes=[{"routers": 1}]
+    )
+    return run(experiment, stub, NoParameters(), path)
+
+
+@pytest.mark.parametrize(
+    ("number", "time_limit_s", "by_signal"),
+    [(signal.SIGINT, 60.0, True), (signal.SIGTERM, 60.0, True), (None, 0.1, False)],
+)
+def test_however_a_run_ends_its_processes_end_and_its_samples_stay(
+    tmp_path: Path, number: signal.Signals | None, time_limit_s: float, by_signal: bool
+) -> None:
+    stub = Stub(number)
+    before = signal.getsignal(signal.SIGINT)
+    result, broken_off = played(stub, tmp_path / "stub.json", time_limit_s)
+    assert broken_off is by_signal
+    assert not result.complete
+    assert load_result(tmp_path / "stub.json") == result
+    assert decode(result.samples[0].histograms["wait_us"]).get_max_value() == 7
+    assert stub.process is not None and stub.process.returncode is not None
+    assert signal.getsignal(signal.SIGINT) is before
+
+
+def test_a_metric_that_the_kind_does_not_know_is_a_fault(tmp_path: Path) -> None:
+    stub = Stub(None)
+    stub.METRICS = {"other_count": "something else"}
+    with pytest.raises(ValueError, match="waits_count"):
+        played(stub, tmp_path / "stub.json", 60.0)
+    assert not (tmp_path / "stub.json").exists()
