Scale experiments: a discovery of their own, and hollow routers

Cause: watches of thousands of routers could not be measured; there was nothing to watch. Change: discovery from the protocol (whole lists, changes, watches, silence, resets, refusals, 503), led over standard input; hollow routers with the program's own Discovery and Host, or with a light call for large numbers.

--- /dev/null
+++ b/scalelab/hollow.py
@@ -0,0 +1,220 @@
+"""Hollow routers: hundreds in one process, each with the real watch over a real socket and no clients.
+
+    python -m scalelab.hollow
+
+A router here is the program's own `Discovery` and `Host`, put together as the program does it. With `held`
+= "router" the decision module takes every list; with "list" the host keeps the list, and the module is told
+only that one came, so that the pauses after failed calls are its own and no ring is built; with "index" not
+even the list is kept, and a call is made and read with the least work that puts the same bytes on the wire,
+so that one machine bears the load of some thousand routers on discovery. Commands (`do`): `start`, `stats`,
+`had` (when each router had an index).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import math
+import re
+import time
+from array import array
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import Any
+
+from brackenwalk import interface as api
+from brackenwalk.net.discovery import ANSWER_MARGIN, MAX_LIST, WATCH_WAIT, Discovery, ListError, read_list
+from brackenwalk.net.host import Host, Member
+from brackenwalk.net.origin import OriginConnection
+from brackenwalk.net.pool import Pool, address_of
+from brackenwalk.net.servers import CacheConnection
+from brackenwalk.settings import read_settings
+from scalelab.standins.control import serve, usage
+
+KEPT_INDICES = 512  # whose times are kept for each router
+HEAD = re.compile(rb"HTTP/1.1 (\d+) .*?\r\ncontent-length: *(\d+)\r\n.*?\r\n\r\n", re.IGNORECASE | re.DOTALL)
+ANYONE = [Member(api.ServerEntry("-"), "127.0.0.1:1")]  # stands for the entries of an answer that has some
+
+
+class ListHost(Host):
+    """A host that keeps the list and leaves the decision module without a ring."""
+
+    def post(self, event: api.Event) -> None:
+        super().post(api.ServerList(event.kind) if isinstance(event, api.ServerList) else event)
+
+
+class LightCall(asyncio.Protocol):
+    """One call and its answer."""
+
+    def __init__(self, request: bytes, done: asyncio.Future[bytes]) -> None:
+        self.request = request
+        self.done = done
+        self.buffer = b""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        transport.write(self.request)
+
+    def data_received(self, data: bytes) -> None:
+        self.buffer += data
+        head = HEAD.match(self.buffer)
+        if head is not None and len(self.buffer) >= head.end() + int(head[2]):
+            if head[1] == b"200":
+                self._finish(self.buffer[head.end() :])
+            else:
+                self._fail(ListError(f"answered {head[1].decode()}"))
+        elif len(self.buffer) > MAX_LIST:
+            self._fail(ListError("too long"))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._fail(exc or ConnectionResetError("ended without an answer"))
+
+    def _finish(self, body: bytes) -> None:
+        if not self.done.done():
+            self.done.set_result(body)
+
+    def _fail(self, error: Exception) -> None:
+        if not self.done.done():
+            self.done.set_exception(error)
+
+
+class LightDiscovery(Discovery):
+    """The real watch with a call of its own: the same request and times, and only the index is kept."""
+
+    async def _call(self) -> tuple[int, bool, list[Member]]:
+        at_once = self.pushed and (self.ask_at_once or self.index is None)
+        target = "/registry/instances"
+        if self.index is not None:
+            target += f"?after={self.index}&wait_ms={0 if self.ask_at_once else int(WATCH_WAIT * 1000)}"
+        request = f"GET {target} HTTP/1.1\r\nHost: {self.address}\r\nConnection: close\r\n\r\n".encode()
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(ANSWER_MARGIN if at_once else WATCH_WAIT + ANSWER_MARGIN):
+            done: asyncio.Future[bytes] = loop.create_future()
+            transport, _ = await loop.create_connection(
+                lambda: LightCall(request, done), *address_of(self.address)
+            )
+            try:
+                body = await done
+            finally:
+                transport.close()
+        # of a whole list only the head is read: all of it would cost as much as keeping it
+        index = re.match(rb'{"index":(\d+),"snapshot":(true|false),"endpoints":\[(.?)', body)
+        if index is None:
+            raise ListError("no list")
+        return int(index[1]), index[2] == b"true", ANYONE if index[3] == b"{" else []
+
+
+class Times:
+    """When each router had each index: seconds of the monotonic clock, NaN where it has not."""
+
+    def __init__(self, routers: int) -> None:
+        self.routers = routers
+        self.of_index: OrderedDict[int, array[float]] = OrderedDict()
+
+    def note(self, router: int, before: int, index: int, at: float) -> None:
+        """A router holds `index` now, and had `before`."""
+        for each in range(max(before + 1, index - KEPT_INDICES + 1), index + 1):
+            if each not in self.of_index:
+                self.of_index[each] = array("d", [math.nan]) * self.routers
+                if len(self.of_index) > KEPT_INDICES:
+                    self.of_index.popitem(last=False)
+            self.of_index[each][router] = at
+
+
+class HollowRouter:
+    """One router without clients."""
+
+    def __init__(self, number: int, fleet: HollowFleet, address: str, seed: int, index: int) -> None:
+        self.number = number
+        self.fleet = fleet
+        self.index = index
+        settings = fleet.settings
+        dial, idle = settings.dial_timeout, settings.connection_idle
+        servers, origin = Pool(CacheConnection, 1, dial, idle), Pool(OriginConnection, 1, dial, idle)
+        make = {"router": Host, "list": ListHost, "index": ListHost}[fleet.held]
+        self.host = make(settings, seed, servers, origin, self._subscribe)
+        self.pushed = not settings.subscribe
+        watch = LightDiscovery if fleet.held == "index" else Discovery
+        self.discovery = watch(address, index, self._told, self._failed, self.pushed)
+
+    def begin(self, known: list[Member]) -> None:
+        """Take the list known before and begin to watch, as the program does."""
+        self.host.list_told(api.ListKind.SAVED, [] if self.fleet.held == "index" else known)
+        if self.pushed:
+            self.discovery.subscribe()
+
+    def _subscribe(self) -> None:
+        self.discovery.subscribe()
+
+    def _told(self, kind: api.ListKind, members: list[Member]) -> None:
+        self.host.list_told(kind, members)
+        index = self.discovery.index
+        if index is not None and index > self.index:
+            self.fleet.times.note(self.number, self.index, index, time.monotonic())
+            self.index = index
+        self.fleet.told += 1
+
+    def _failed(self) -> None:
+        self.fleet.failed += 1
+        self.host.list_failed()
+
+
+class HollowFleet:
+    """The routers of this process."""
+
+    def __init__(self) -> None:
+        self.settings = api.Settings(classes={})
+        self.held = "list"
+        self.routers: list[HollowRouter] = []
+        self.times = Times(0)
+        self.told = 0
+        self.failed = 0
+        self.starts: list[asyncio.TimerHandle] = []
+
+    def start(self, command: dict[str, Any]) -> None:
+        """Start `routers` routers within `spread_s`, over the `discovery` addresses in turn."""
+        self.settings = read_settings(command["settings"])
+        self.held = command["held"]
+        index, _, known = read_list(command["known"], "known")
+        self.times = Times(command["routers"])
+        addresses: list[str] = command["discovery"]
+        loop = asyncio.get_running_loop()
+        for number in range(command["routers"]):
+            address = addresses[number % len(addresses)]
+            router = HollowRouter(number, self, address, command["seed"] + number, index)
+            self.routers.append(router)
+            begin: Callable[[list[Member]], None] = router.begin
+            self.starts.append(
+                loop.call_later(command["spread_s"] * number / command["routers"], begin, known)
+            )
+
+    def stats(self) -> dict[str, Any]:
+        """Counts since the start, and what the process has used."""
+        indices = [r.index for r in self.routers]
+        return {
+            **usage(),
+            "told": self.told,
+            "failed": self.failed,
+            "lowest": min(indices, default=0),
+            "entries": min((len(r.host.members) for r in self.routers), default=0),
+        }
+
+    async def handle(self, command: dict[str, Any]) -> dict[str, Any]:
+        """Carry out a command of the control channel."""
+        match command["do"]:
+            case "start":
+                self.start(command)
+                return {}
+            case "stats":
+                return self.stats()
+            case "had":
+                empty = array("d", [math.nan]) * self.times.routers
+                return {"times": list(self.times.of_index.get(command["index"], empty))}  # NaN is null
+            case other:
+                raise ValueError(f"no such command: {other}")
+
+
+if __name__ == "__main__":
+    # a failed call is counted; some thousand lines a second would cost more than the calls
+    logging.basicConfig(level=logging.ERROR)
+    asyncio.run(serve(HollowFleet().handle))
--- /dev/null
+++ b/tests/test_standins.py
@@ -0,0 +1,80 @@
+"""The scale experiments' stand-ins speak the protocol that the routers rely on."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import orjson
+
+from brackenwalk import interface as api
+from brackenwalk.net.discovery import Discovery
+from scalelab.standins import discovery as standin
+from tests.loopback import Link, run, spelled
+from tests.test_net_discovery import LINE
+
+
+def line(name: str, status: str = "in_service") -> dict[str, Any]:
+    return {**LINE, "name": name, "status": status}
+
+
+def told(registry: standin.Registry, after: int | None) -> tuple[int, bool, dict[str, str]]:
+    answer = orjson.loads(registry.answer(after))
+    return answer["index"], answer["snapshot"], {e["name"]: e["status"] for e in answer["endpoints"]}
+
+
+def test_a_registry_tells_the_whole_list_changes_and_the_whole_list_after_an_index_too_old() -> None:
+    registry = standin.Registry(kept=2)
+    registry.replace(5, [line("a"), line("b")])
+    assert told(registry, None) == (5, True, {"a": "in_service", "b": "in_service"})
+    assert told(registry, 5) == (5, False, {})
+    assert told(registry, 4)[1]  # from before the list
+    assert told(registry, 6)[1]  # an index of another discovery
+    registry.change(6, [line("a", "terminating")])
+    registry.change(7, [line("a", "terminated"), line("c")])
+    assert told(registry, 5) == (7, False, {"a": "terminated", "c": "in_service"})
+    assert told(registry, 6) == (7, False, {"a": "terminated", "c": "in_service"})
+    registry.change(8, [])
+    assert told(registry, 5) == (8, True, {"b": "in_service", "c": "in_service"})
+
+
+def test_a_watch_waits_for_news_and_goes_silent_with_discovery() -> None:
+    async def scenario() -> None:
+        server = standin.Discovery()
+        await server.listen()
+        server.registry.replace(41, [line("a")])
+        news: asyncio.Queue[tuple[api.ListKind, list[str]]] = asyncio.Queue()
+        watch = Discovery(
+            spelled(server.address),
+            41,
+            lambda kind, members: news.put_nowait((kind, [m.entry.server for m in members])),
+            lambda: news.put_nowait((api.ListKind.FAILED, [])),
+        )
+        watch.subscribe()
+
+        async def waits(calls: int) -> None:
+            while server.calls < calls:
+                await asyncio.sleep(0.001)
+
+        await waits(1)
+        assert len(server.waiting) == 1 and news.empty()
+        server.change(42, [line("b")])
+        assert await news.get() == (api.ListKind.DELTA, ["b"])
+        await waits(2)
+        await server.set_mode("silent")
+        server.change(43, [line("c")])
+        assert not server.waiting and news.empty()
+        assert server.reset_held() == 1
+        assert await news.get() == (api.ListKind.FAILED, [])
+        await server.set_mode("serve")
+        watch.subscribe()
+        assert await news.get() == (api.ListKind.DELTA, ["c"])
+        watch.close()
+
+        other = Link(*await asyncio.open_connection(*server.address))
+        other.write(b"GET /registry/instances?after=x HTTP/1.1\r\n\r\n")
+        assert (await other.http())[0] == "HTTP/1.1 400 Bad Request"
+        assert server.server is not None
+        server.server.close()
+
+    run(scenario)
