Scale experiments: watches, spread of a change and discovery's return

Cause: what thousands of watches cost discovery, and what its return after an outage brings, was not known.

--- /dev/null
+++ b/scalelab/kinds/watch.py
@@ -0,0 +1,377 @@
+"""Watches of the list: their standing price, how a change spreads, and discovery's return after an outage.
+
+Discovery and the routers are processes of their own on loopback. Some routers are real but for their clients
+(the program's own watch and host, which keeps the list); the others put the same calls on the wire at the
+same times with less work, so that one machine bears thousands. CPU is of processes; times are wall-clock and
+hold the wait for this machine's cores, which all routers share here and would not on machines of their own.
+"""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+import time
+from collections.abc import Iterator, Mapping
+from typing import Any, Literal
+
+from hdrh.histogram import HdrHistogram
+from pydantic import BaseModel, ConfigDict, Field
+
+from scalelab.lab import Lab, Sample
+from scalelab.standins.control import Control, ask_all
+
+LONGEST_US = 600_000_000  # that a histogram holds
+POLL_S = 0.25
+PATIENCE_S = 90.0  # for an answer of a process that is busy with some thousand routers
+Mode = Literal["asked", "pushed"]
+Outage = Literal["silent", "reset", "refuse"]
+MODES: tuple[Mode, ...] = ("asked", "pushed")
+OUTAGES: tuple[Outage, ...] = ("silent", "reset", "refuse")
+
+
+class Parameters(BaseModel):
+    """What is the same at all sizes."""
+
+    model_config = ConfigDict(extra="forbid")
+
+    discoveries: int = Field(2, ge=1, le=16, description="processes of discovery, an address each")
+    real: int = Field(200, ge=1, le=2000, description="routers with the program's own watch, in one process")
+    hollows: int = Field(3, ge=1, le=32, description="processes for the other routers")
+    held: Literal["list", "router"] = Field("list", description="by real routers: the list, or its ring too")
+    zones: int = Field(51, ge=1, le=10_000, description="zones over which the caches are spread")
+    spread_s: float = Field(3.0, ge=0, le=60, description="within which all routers start")
+    quiet_s: float = Field(12.0, gt=0, le=600, description="watched without a change")
+    changes: int = Field(6, ge=1, le=200, description="changes of one entry")
+    change_every_s: float = Field(2.5, gt=0, le=60, description="from one change to the next")
+    outage_s: float = Field(10.0, gt=0, le=600, description="of discovery; a change is made in it")
+    return_most_s: float = Field(40.0, gt=0, le=600, description="after it, within which all should return")
+    modes: list[Mode] = Field(list(MODES), min_length=1, description="asked for by routers, or pushed")
+    outages: list[Outage] = Field(
+        ["silent", "reset"],
+        description="silent: calls in it are never answered; reset: and reset at its end; refuse: discovery is dead",
+    )
+
+
+SIZES = {"routers": "that watch, the real ones among them", "caches": "entries of the list"}
+METRICS = {
+    "start_s": "seconds from the first router's start until all had a change made 1 s after the last one's",
+    "calls_per_s": "calls at discovery, quiet",
+    "connections_per_s": "connections opened to discovery, quiet",
+    "peak_calls_per_100ms": "calls at discovery in the busiest tenth of a second, quiet",
+    "calls_per_router_per_s": "calls of each router, quiet",
+    "discovery_cpu_share": "cores that discovery uses in all, quiet",
+    "discovery_cpu_per_router_share": "cores that discovery uses for each router, quiet",
+    "discovery_cpu_per_call_s": "CPU seconds of discovery for a call, quiet",
+    "discovery_in_per_router_bytes_per_s": "bytes of HTTP from each router to discovery, quiet",
+    "discovery_out_per_router_bytes_per_s": "bytes of HTTP from discovery to each router, quiet",
+    "discovery_resident_bytes": "resident memory of discovery's processes with all watching",
+    "discovery_descriptors": "descriptors of discovery's processes with all watching",
+    "real_cpu_share": "cores that one real router uses, quiet",
+    "real_resident_bytes": "resident memory of the process of real routers, for each",
+    "light_cpu_share": "cores that one other router uses, quiet",
+    "change_discovery_cpu_s": "CPU seconds of discovery for a change, beyond quiet, all routers",
+    "change_discovery_cpu_per_router_s": "the same for each router",
+    "change_out_per_router_bytes": "bytes of HTTP to each router for a change, beyond quiet",
+    "change_calls_per_router": "calls of each router for a change, beyond quiet",
+    "change_real_cpu_s": "CPU seconds of one real router for a change, beyond quiet",
+    "written_s": "seconds from a change until discovery had written it to all that waited, median of changes",
+    **{
+        f"spread_{p}_s": f"seconds from a change until {p[1:]}% of all routers had it" for p in ("p50", "p99")
+    },
+    "spread_all_s": "seconds from a change until all routers had it, the slowest of the changes",
+    "spread_unheard": "times that a router did not hear of a change before the next phase",
+    "load": "processes that wanted a core of this machine in the last minute, at the end of the sample",
+    **{
+        f"return_{mode}_{outage}_{name}": f"{meaning}; list {mode}, outage {outage}"
+        for mode in MODES
+        for outage in OUTAGES
+        for name, meaning in {
+            "peak_calls_per_s": "calls at discovery in the busiest second after its return",
+            "peak_calls_per_100ms": "calls at discovery in the busiest tenth of a second after its return",
+            "calls_per_router": "calls of each router from the return until the last had the list",
+            "p50_s": "seconds from the return until half of the routers had the list",
+            "p99_s": "seconds from the return until 99% of the routers had the list",
+            "all_s": "seconds from the return until all routers had the list",
+            "unheard": "routers that did not have it within the time allowed",
+            "cpu_s": "CPU seconds of discovery from the return until the last had the list",
+        }.items()
+    },
+}
+
+
+def entries(caches: int, zones: int) -> list[dict[str, Any]]:
+    """A list of caches in discovery's form."""
+    return [
+        {
+            "name": f"s-{i:08x}",
+            "address": f"127.1.{i // 250}.{i % 250 + 1}:6379",
+            "zone": f"z{i % zones}",
+            "type": "m2",
+            "group": i // 8,
+            "status": "in_service",
+            "weight": 1.0,
+            "since_ms": 0,
+        }
+        for i in range(caches)
+    ]
+
+
+def settings(mode: Mode, routers: int) -> dict[str, Any]:
+    """Settings with the times of the customers' sites."""
+    return {
+        "classes": [{"name": "read", "aim": 0.5, "giveUp": 2.0, "effect": "free"}],
+        "membershipMode": "subscribe" if mode == "asked" else "automatic",
+        "siblings": routers,
+        "rules": {"rampTime": 10.0, "overloadFor": 1.0, "stopSendingWithin": 0.5},
+    }
+
+
+class Fleet:
+    """Discovery and the routers of one sample."""
+
+    def __init__(self, parameters: Parameters, size: Mapping[str, float], seed: int, lab: Lab) -> None:
+        self.parameters = parameters
+        self.routers = int(size["routers"])
+        self.seed = seed
+        self.lab = lab
+        self.list = entries(int(size["caches"]), parameters.zones)
+        self.index = 1
+        self.made_at: dict[int, float] = {}  # of each change, at the first process of discovery
+        self.processes: list[subprocess.Popen[bytes]] = []
+        self.discoveries: list[Control] = []
+        self.real: list[Control] = []
+        self.light: list[Control] = []
+
+    def _spawn(self, name: str, *args: str) -> Control:
+        pipes = {"stdin": subprocess.PIPE, "stdout": subprocess.PIPE}
+        process = self.lab.spawn([sys.executable, "-m", *args], **pipes)
+        self.processes.append(process)
+        return Control(process, name, PATIENCE_S)
+
+    def start(self, mode: Mode) -> float:
+        """Start all; the seconds until every router follows the changes."""
+        counts = [min(self.parameters.real, self.routers)]
+        others = self.routers - counts[0]
+        hollows = self.parameters.hollows if others else 0
+        counts += [others // hollows + (i < others % hollows) for i in range(hollows)]
+        self.discoveries = [
+            self._spawn("discovery", "scalelab.standins.discovery", f"127.0.1.{i + 1}:0")
+            for i in range(self.parameters.discoveries)
+        ]
+        addresses = [d.reply()["address"] for d in self.discoveries]
+        ask_all(self.discoveries, "list", index=self.index, endpoints=self.list)
+        every = [self._spawn("routers", "scalelab.hollow") for _ in counts]
+        self.real, self.light = every[:1], every[1:]
+        known = {"index": self.index, "snapshot": True, "endpoints": self.list}
+        for i, (control, routers) in enumerate(zip(every, counts, strict=True)):
+            control.tell(
+                "start",
+                routers=routers,
+                seed=self.seed * 1_000_000 + i * 100_000,
+                held=self.parameters.held if i == 0 else "index",
+                discovery=addresses[i % len(addresses) :] + addresses[: i % len(addresses)],
+                settings=settings(mode, self.routers),
+                known=known,
+                spread_s=self.parameters.spread_s,
+            )
+        began = time.monotonic()
+        for control in every:
+            control.reply()
+        time.sleep(self.parameters.spread_s + 1.0)
+        self.change()
+        self.followed(self.parameters.return_most_s)
+        return time.monotonic() - began
+
+    def stop(self) -> None:
+        """End all, so that the next mode starts anew."""
+        for process in self.processes:
+            self.lab.stop(process)
+        self.processes.clear()
+
+    def change(self) -> None:
+        """Change one entry: it begins to leave, or is back."""
+        self.index += 1
+        entry = self.list[self.index // 2 % len(self.list)]
+        entry["status"] = "terminating" if self.index % 2 else "in_service"
+        at = [r["at"] for r in ask_all(self.discoveries, "change", index=self.index, endpoints=[entry])]
+        self.made_at[self.index] = min(at)
+
+    def followed(self, most_s: float) -> None:
+        """Wait until all routers have the latest change, and no longer than that."""
+        until = time.monotonic() + most_s
+        while time.monotonic() < until and not self.lab.expired():
+            if min(r["lowest"] for r in ask_all([*self.real, *self.light], "stats")) >= self.index:
+                return
+            time.sleep(POLL_S)
+
+    def had(self, index: int, since: float) -> tuple[list[float], int]:
+        """Seconds after `since` at which routers had an index, sorted; and how many did not."""
+        replies = ask_all([*self.real, *self.light], "had", index=index)
+        times = [t for reply in replies for t in reply["times"]]
+        heard = sorted(max(0.0, t - since) for t in times if t is not None)
+        return heard, len(times) - len(heard)
+
+    def calls_since(self, began: float) -> dict[float, float]:
+        """Calls at discovery in each tenth of a second, by its number."""
+        counts: dict[float, float] = {}
+        for stats in ask_all(self.discoveries, "stats"):
+            for bucket, calls in stats["over_time"]:
+                if (bucket + 1) * stats["bucket_s"] > began:
+                    counts[bucket] = counts.get(bucket, 0.0) + calls
+        return counts
+
+    def usage(self) -> dict[str, float]:
+        """Counts and usage now, in sum for each role."""
+        told = ask_all(self.discoveries, "stats")
+        names = ("calls", "connections", "bytes_in", "bytes_out", "cpu_s", "resident_bytes", "descriptors")
+        sums: dict[str, float] = {name: sum(t[name] for t in told) for name in names}
+        sums["at"] = told[0]["at"]
+        sums["written_s"] = max(t["told_s"] for t in told)
+        for role, controls in (("real", self.real), ("light", self.light)):
+            stats = ask_all(controls, "stats")
+            sums[f"{role}_cpu_s"] = sum(s["cpu_s"] for s in stats)
+            sums[f"{role}_resident_bytes"] = sum(s["resident_bytes"] for s in stats)
+        return sums
+
+
+def between(before: Mapping[str, float], after: Mapping[str, float]) -> dict[str, float]:
+    """What was used from one moment to another."""
+    return {name: after[name] - before[name] for name in after}
+
+
+def share_at(values: list[float], share: float) -> float:
+    """The value that a share of a sorted list does not pass."""
+    return values[min(len(values) - 1, int(share * len(values)))]
+
+
+def histogram(values: list[float]) -> HdrHistogram:
+    """Seconds as microseconds."""
+    made = HdrHistogram(1, LONGEST_US, 2)
+    for value in values:
+        made.record_value(max(1, round(value * 1e6)))
+    return made
+
+
+def quiet(fleet: Fleet) -> tuple[dict[str, float], dict[str, float]]:
+    """The standing price: metrics, and the rates a second that are taken off what changes cost."""
+    before = fleet.usage()
+    time.sleep(fleet.parameters.quiet_s)
+    after = fleet.usage()
+    used = between(before, after)
+    routers, real = fleet.routers, min(fleet.parameters.real, fleet.routers)
+
+    def rate(name: str) -> float:
+        return used[name] / used["at"]
+
+    metrics = {
+        "calls_per_s": rate("calls"),
+        "connections_per_s": rate("connections"),
+        "peak_calls_per_100ms": peak(fleet.calls_since(before["at"]), 1),
+        "calls_per_router_per_s": rate("calls") / routers,
+        "discovery_cpu_share": rate("cpu_s"),
+        "discovery_cpu_per_router_share": rate("cpu_s") / routers,
+        "discovery_cpu_per_call_s": used["cpu_s"] / max(1.0, used["calls"]),
+        "discovery_in_per_router_bytes_per_s": rate("bytes_in") / routers,
+        "discovery_out_per_router_bytes_per_s": rate("bytes_out") / routers,
+        "discovery_resident_bytes": after["resident_bytes"],
+        "discovery_descriptors": after["descriptors"],
+        "real_cpu_share": rate("real_cpu_s") / real,
+        "real_resident_bytes": after["real_resident_bytes"] / real,
+    }
+    if routers > real:
+        metrics["light_cpu_share"] = rate("light_cpu_s") / (routers - real)
+    return metrics, {name: rate(name) for name in used}
+
+
+def changes(fleet: Fleet, rates: Mapping[str, float]) -> tuple[dict[str, float], HdrHistogram]:
+    """The price of changes beyond the standing one, and how they spread."""
+    before = fleet.usage()
+    written, first = [], fleet.index + 1
+    for _ in range(fleet.parameters.changes):
+        began = time.monotonic()
+        fleet.change()
+        written.append(max(s["told_s"] for s in ask_all(fleet.discoveries, "stats")))
+        time.sleep(max(0.0, fleet.parameters.change_every_s - (time.monotonic() - began)))
+    fleet.followed(fleet.parameters.return_most_s)
+    used = between(before, fleet.usage())
+    beyond = {name: (used[name] - rates[name] * used["at"]) / fleet.parameters.changes for name in used}
+    spread, slowest, unheard = [], 0.0, 0
+    for index in range(first, fleet.index + 1):
+        heard, missing = fleet.had(index, fleet.made_at[index])
+        spread += heard
+        slowest = max(slowest, heard[-1] if heard else 0.0)
+        unheard += missing
+    spread.sort()
+    real = min(fleet.parameters.real, fleet.routers)
+    metrics = {
+        "change_discovery_cpu_s": beyond["cpu_s"],
+        "change_discovery_cpu_per_router_s": beyond["cpu_s"] / fleet.routers,
+        "change_out_per_router_bytes": beyond["bytes_out"] / fleet.routers,
+        "change_calls_per_router": beyond["calls"] / fleet.routers,
+        "change_real_cpu_s": beyond["real_cpu_s"] / real,
+        "written_s": sorted(written)[len(written) // 2],
+        "spread_p50_s": share_at(spread, 0.5),
+        "spread_p99_s": share_at(spread, 0.99),
+        "spread_all_s": slowest,
+        "spread_unheard": unheard,
+    }
+    return metrics, histogram(spread)
+
+
+def peak(counts: Mapping[float, float], buckets: int) -> float:
+    """The most calls in so many buckets in a row."""
+    return max((sum(counts.get(b + i, 0) for i in range(buckets)) for b in counts), default=0.0)
+
+
+def outage(fleet: Fleet, how: Outage) -> tuple[dict[str, float], HdrHistogram]:
+    """Discovery goes, the list changes, discovery comes back: what it meets, and when all have the list."""
+    ask_all(fleet.discoveries, "refuse" if how == "refuse" else "silent")
+    time.sleep(fleet.parameters.outage_s / 2)
+    fleet.change()
+    time.sleep(fleet.parameters.outage_s / 2)
+    before = fleet.usage()
+    back = min(r["at"] for r in ask_all(fleet.discoveries, "serve"))
+    if how == "reset":
+        ask_all(fleet.discoveries, "reset_held")
+    fleet.followed(fleet.parameters.return_most_s)
+    used = between(before, fleet.usage())
+    counts = fleet.calls_since(back)
+    heard, missing = fleet.had(fleet.index, back)
+    metrics = {
+        "peak_calls_per_s": peak(counts, 10),
+        "peak_calls_per_100ms": peak(counts, 1),
+        "calls_per_router": used["calls"] / fleet.routers,
+        "unheard": float(missing),
+        "cpu_s": used["cpu_s"],
+    }
+    if heard:
+        metrics |= {"p50_s": share_at(heard, 0.5), "p99_s": share_at(heard, 0.99), "all_s": heard[-1]}
+    return metrics, histogram(heard)
+
+
+def measure(parameters: Parameters, size: Mapping[str, float], seed: int, lab: Lab) -> Iterator[Sample]:
+    """One sample: quiet and changes in the first mode, the outages in each; raises ControlError."""
+    sample = Sample({})
+    for mode in parameters.modes:
+        fleet = Fleet(parameters, size, seed, lab)
+        try:
+            lab.progress(f"list {mode}: start")
+            start_s = fleet.start(mode)
+            if mode == parameters.modes[0]:
+                sample.metrics["start_s"] = start_s
+                lab.progress("quiet")
+                metrics, rates = quiet(fleet)
+                sample.metrics |= metrics
+                lab.progress("changes")
+                metrics, sample.histograms["spread"] = changes(fleet, rates)
+                sample.metrics |= metrics
+            for how in parameters.outages:
+                lab.progress(f"list {mode}: outage {how}")
+                name = f"return_{mode}_{how}"
+                metrics, sample.histograms[name] = outage(fleet, how)
+                sample.metrics |= {f"{name}_{metric}": value for metric, value in metrics.items()}
+        finally:
+            fleet.stop()
+    sample.metrics["load"] = os.getloadavg()[0]
+    yield sample
