Scale experiments: a fixed piece of work tells how busy the machine was

Cause: with 45 processes on 8 cores the same change took twice the CPU seconds that an idle machine gave, so that figures of two runs could not be compared.

--- a/scalelab/experiment.py
+++ b/scalelab/experiment.py
@@ -23,6 +23,7 @@
     StrictInt,
     StringConstraints,
     ValidationError,
+    create_model,
 )
 
 from scalelab import kinds
@@ -56,7 +57,10 @@
 
 
 class Kind(Protocol):
-    """A module of `scalelab/kinds/`; it may also have `Size`, a schema of the columns of each size."""
+    """A module of `scalelab/kinds/`.
+
+    It may also say which columns its sizes have: as `SIZES`, column -> meaning, or as `Size`, a schema.
+    """
 
     @property
     def Parameters(self) -> type[BaseModel]: ...
@@ -111,7 +115,10 @@
 
 
 def size_schema(kind: Kind) -> type[BaseModel] | None:
-    """The schema of a kind's sizes, where it has one."""
+    """The schema of a kind's sizes, where it has one; each column of `SIZES` must be given, others may be."""
+    if (columns := getattr(kind, "SIZES", None)) is not None:
+        fields: dict[str, Any] = {name: (float, Field(description=text)) for name, text in columns.items()}
+        return create_model("Size", **fields)
     return cast(type[BaseModel] | None, getattr(kind, "Size", None))
 
 
--- a/scalelab/kinds/list_change.py
+++ b/scalelab/kinds/list_change.py
@@ -77,6 +77,7 @@
     "router_bytes": "bytes that a Router holds for the list, the entries not counted (tracemalloc)",
     "host_bytes": "bytes that a Host holds for the list, with router and entries (tracemalloc)",
     "change_peak_bytes": "bytes above that for a moment, while it takes one change (tracemalloc)",
+    "reference_cpu_s": "CPU seconds of a fixed piece of work, by which to compare differently busy machines",
     "core_share": "share of one core that changes take at changes_per_s, whole path",
     "change_bytes_per_s": "bytes a second that changes bring at changes_per_s, without headers",
 }
@@ -176,6 +177,12 @@
         return self.time
 
 
+def reference() -> float:
+    """CPU seconds of a table of 100,000 numbers, filled and sorted: a busy machine makes all work slower."""
+    numbers = [i * 2_654_435_761 % 2**32 for i in range(100_000)]
+    return timed(lambda: sorted({number: (number, 0.5) for number in numbers}))
+
+
 def new_host(settings: api.Settings, seed: int) -> Host:
     """A router's host, with pools that hold no connection."""
     servers = Pool(CacheConnection, 8, settings.dial_timeout, settings.connection_idle)
@@ -314,14 +321,17 @@
     gc.collect()
     gc.freeze()  # what the rig itself holds is not a router's to collect
     try:
+        references = [reference()]
         lab.progress("decision module")
         metrics, change = measure_router(settings, lines, parameters, seed)
         lab.progress("whole path")
         more, path = measure_path(settings, lines, parameters, seed)
+        references.append(reference())
         lab.progress("memory")
         metrics |= more | measure_memory(settings, lines, parameters, seed)
     finally:
         gc.unfreeze()
+    metrics["reference_cpu_s"] = statistics.fmean(references)
     metrics["core_share"] = changes_per_s * metrics["path_change_cpu_s"]
     metrics["change_bytes_per_s"] = changes_per_s * metrics["change_bytes"]
     yield Sample(metrics, {"change_us": change, "path_change_us": path})
