Scale experiments: watch and sockets tell how busy the machine was

Cause: CPU seconds of two runs on a shared machine could not be compared. Change: both time the fixed piece of work of list_change before and after each sample.

--- a/scalelab/kinds/sockets.py
+++ b/scalelab/kinds/sockets.py
@@ -23,6 +23,7 @@
 from hdrh.histogram import HdrHistogram
 from pydantic import BaseModel, ConfigDict, Field
 
+from scalelab.kinds.list_change import reference
 from scalelab.lab import Lab, Sample
 from scalelab.standins.control import Control
 
@@ -90,6 +91,7 @@
     "router_descriptors": "descriptors of a router at the end, mean",
     "client_connections_per_router": "open connections of clients to a router at the end",
     "client_connections_per_request": "connections that clients opened for each request",
+    "reference_cpu_s": "CPU seconds of a fixed piece of work, by which to compare differently busy machines",
     "load": "processes that wanted a core of this machine in the last minute, at the end of the sample",
 }
 
@@ -288,9 +290,7 @@
             self.lab.stop(process)
 
 
-def figures(
-    before: dict[str, Any], after: dict[str, Any], size: Mapping[str, float], routers: list[psutil.Process]
-) -> dict[str, float]:
+def figures(before: dict[str, Any], after: dict[str, Any], routers: list[psutil.Process]) -> dict[str, float]:
     """Metrics of what happened between two moments."""
     seconds = after["caches"]["at"] - before["caches"]["at"]
     each = [
@@ -342,7 +342,6 @@
         "router_descriptors": sum(r.num_fds() for r in routers) / len(routers),
         "client_connections_per_router": after["clients"]["counts"]["open"] / len(routers),
         "client_connections_per_request": counts["connections"] / asked,
-        "load": os.getloadavg()[0],
     }
 
 
@@ -363,12 +362,15 @@
         site.start()
         time.sleep(parameters.warm_s)
         lab.progress("measure")
+        references = [reference()]
         before = site.usage()
         time.sleep(parameters.measure_s)
         after = site.usage()
+        references.append(reference())
         if any(not r.is_running() or r.status() == psutil.STATUS_ZOMBIE for r in site.routers):
             raise RuntimeError("a router has ended")
-        metrics = figures(before, after, size, site.routers)
+        metrics = figures(before, after, site.routers)
+        metrics |= {"load": os.getloadavg()[0], "reference_cpu_s": sum(references) / 2}
         yield Sample(metrics, {"latency": HdrHistogram.decode(after["clients"]["latency"])})
     finally:
         site.stop()
--- a/scalelab/kinds/watch.py
+++ b/scalelab/kinds/watch.py
@@ -18,6 +18,7 @@
 from hdrh.histogram import HdrHistogram
 from pydantic import BaseModel, ConfigDict, Field
 
+from scalelab.kinds.list_change import reference
 from scalelab.lab import Lab, Sample
 from scalelab.standins.control import Control, ask_all
 
@@ -84,6 +85,7 @@
     },
     "spread_all_s": "seconds from a change until all routers had it, the slowest of the changes",
     "spread_unheard": "times that a router did not hear of a change before the next phase",
+    "reference_cpu_s": "CPU seconds of a fixed piece of work, by which to compare differently busy machines",
     "load": "processes that wanted a core of this machine in the last minute, at the end of the sample",
     **{
         f"return_{mode}_{outage}_{name}": f"{meaning}; list {mode}, outage {outage}"
@@ -357,6 +359,7 @@
 def measure(parameters: Parameters, size: Mapping[str, float], seed: int, lab: Lab) -> Iterator[Sample]:
     """One sample: quiet and changes in the first mode, the outages in each; raises ControlError."""
     sample = Sample({})
+    references = [reference()]
     for mode in parameters.modes:
         fleet = Fleet(parameters, size, seed, lab)
         try:
@@ -376,5 +379,6 @@
                 sample.metrics |= {f"{name}_{metric}": value for metric, value in metrics.items()}
         finally:
             fleet.stop()
-    sample.metrics["load"] = os.getloadavg()[0]
+    references.append(reference())
+    sample.metrics |= {"load": os.getloadavg()[0], "reference_cpu_s": sum(references) / 2}
     yield sample
