Scale experiments: what a list change costs a router that is a process of its own

Cause: the figures of the decision module leave out HTTP, the new connection of each call and the event loop. Change: list_change_process starts a router by run of the deploy file before the stand-in of discovery, and reads its CPU seconds by POSIX clocks, as the kernel's ticks of 10 ms are longer than a change of a small list.

--- /dev/null
+++ b/scalelab/kinds/list_change_process.py
@@ -0,0 +1,199 @@
+"""What a change of the list costs a real router, a process of its own that watches a discovery.
+
+The router is started by `run` of deploy/balancer.toml, after its `build` in a folder of the run. It has no
+clients and its list is of caches that nobody runs, so that all its work is the list and its watch.
+"""
+
+from __future__ import annotations
+
+import os
+import socket
+import statistics
+import subprocess
+import sys
+import time
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+import numpy as np
+import orjson
+import psutil
+from pydantic import BaseModel, ConfigDict, Field
+
+from scalelab.cpu import process_cpu_s
+from scalelab.kinds import list_change
+from scalelab.kinds.sockets import built
+from scalelab.lab import Lab, Sample
+from scalelab.standins.control import Control
+
+READY_MOST_S = 60.0
+TAKEN_MOST_S = 30.0  # for a router to take a change and ask for the next
+POLL_S = 0.005
+
+
+class Parameters(BaseModel):
+    """What is the same at all sizes."""
+
+    model_config = ConfigDict(extra="forbid")
+
+    changes: int = Field(default=8, ge=1, le=1000, description="changes of each of five sorts")
+    quiet_s: float = Field(
+        default=12.0, gt=0, le=600, description="watched without a change; a call takes 3 s"
+    )
+    memory_mb: int = Field(default=192, ge=64, description="limit that the router is told")
+    sockets: int = Field(default=1024, ge=64, description="descriptors that the router may hold")
+
+
+class Size(BaseModel):
+    """The columns of a size."""
+
+    model_config = ConfigDict(extra="forbid")
+
+    routers: int = Field(
+        default=1, ge=1, strict=True, description="siblings, as the settings say; one is run"
+    )
+    caches: int = Field(
+        ge=1, le=100_000, strict=True, description="page caches in the list, beside the origin"
+    )
+    changes_per_s: float = Field(ge=0, description="changes of the list a second")
+
+
+METRICS = {
+    "start_cpu_s": "CPU seconds of the router until it watches: program, list known and first list told",
+    "process_change_cpu_s": "CPU seconds of the router for a change of one entry, with its call",
+    "quiet_core_share": "share of one core that the watch takes without any change",
+    "core_share": "share of one core that the watch and changes_per_s changes take, at most",
+    "resident_bytes": "resident memory of the router after the first list",
+    "most_resident_bytes": "resident memory of the router after the changes",
+    "change_bytes_in": "bytes to the router for a change of one entry, headers counted, TCP's not",
+    "change_bytes_out": "bytes from the router for a change of one entry, headers counted, TCP's not",
+    "quiet_bytes_per_s": "bytes in both directions without any change, headers counted, TCP's not",
+    "bytes_per_s": "bytes in both directions at changes_per_s, headers counted, TCP's not",
+    "first_list_bytes": "bytes to the router until it is ready, headers counted, TCP's not",
+    "reference_cpu_s": list_change.METRICS["reference_cpu_s"],
+}
+SETTINGS = {
+    "classes": [{"name": "page-read", "aim": 0.3, "giveUp": 1.2, "effect": "free"}],
+    "familyInfo": {"mode": "aside", "originKind": 1},
+    "skus": ["std-1c", "origin"],
+    "membershipMode": "subscribe",
+    "weights": "nominal",
+}
+
+
+def start_router(lab: Lab, parameters: Parameters, told: dict[str, Any]) -> subprocess.Popen[bytes]:
+    """A router that has answered `+PONG`; `told` is the rest of its configuration.
+
+    Raises RuntimeError where it is not ready in time.
+    """
+    folder, command = built(lab)
+    with socket.socket() as probe:  # a port that is free now
+        probe.bind(("127.0.0.1", 0))
+        listen = probe.getsockname()
+    config = {
+        "name": "n0",
+        "listen": "{}:{}".format(*listen),
+        "limits": {"cores": 1.0, "memory_mb": parameters.memory_mb, "sockets": parameters.sockets},
+        **told,
+    }
+    path = lab.folder / "router.json"
+    path.write_bytes(orjson.dumps(config))
+    log = lab.folder / "router.log"
+    with log.open("wb") as output:
+        process = lab.spawn(
+            ["/bin/sh", "-c", f"ulimit -n {parameters.sockets}; {command}"],
+            cwd=folder,
+            env={**os.environ, "RELAY_CONFIG": str(path)},
+            stdout=output,
+            stderr=output,
+        )
+    until = time.monotonic() + READY_MOST_S
+    while time.monotonic() < until and process.poll() is None:
+        try:
+            with socket.create_connection(listen, 1.0) as client:
+                client.sendall(b"*1\r\n$4\r\nPING\r\n")
+                if client.recv(64) == b"+PONG\r\n":
+                    return process
+        except OSError:
+            pass
+        time.sleep(0.05)
+    raise RuntimeError(f"the router is not ready: {log.read_text(errors='replace')[-300:]}")
+
+
+def taken(discovery: Control) -> dict[str, Any]:
+    """Wait until the router has the latest change, and waits for the next; discovery's counts then."""
+    until = time.monotonic() + TAKEN_MOST_S
+    while time.monotonic() < until:
+        stats = discovery.ask("stats")
+        if stats["waiting"] == 1 and stats["open"] == 1:
+            return stats
+        time.sleep(POLL_S)
+    raise RuntimeError(f"the router has not asked again within {TAKEN_MOST_S:g} s: {stats}")
+
+
+def measure(parameters: Parameters, size: Mapping[str, float], seed: int, lab: Lab) -> Iterator[Sample]:
+    """One sample; CPU seconds are the router's alone. Raises RuntimeError where it does not start or hear."""
+    changes_per_s = float(size["changes_per_s"])
+    rng = np.random.default_rng(seed)
+    lines = list_change.lines_of(int(size["caches"]), list_change.Parameters(), rng)
+    references = [list_change.reference()]
+    lab.progress("start")
+    pipes = {"stdin": subprocess.PIPE, "stdout": subprocess.PIPE}
+    standin = lab.spawn([sys.executable, "-m", "scalelab.standins.discovery", "127.0.0.1:0"], **pipes)
+    discovery = Control(standin, "discovery")
+    address = discovery.reply()["address"]
+    discovery.ask("list", index=2, endpoints=lines)
+    known = {"index": 1, "snapshot": True, "endpoints": lines}
+    told = {
+        "discovery": address,
+        "seed": f"{seed:016x}",
+        "known": known,
+        "settings": {**SETTINGS, "siblings": int(size.get("routers", 1))},
+    }
+    router = start_router(lab, parameters, told)
+    started = taken(discovery)
+    start_cpu_s = process_cpu_s(router.pid)
+    resident = psutil.Process(router.pid).memory_info().rss
+
+    lab.progress("quiet")
+    before, cpu_before = started, start_cpu_s
+    time.sleep(parameters.quiet_s)
+    after, cpu_after = taken(discovery), process_cpu_s(router.pid)
+    seconds = after["at"] - before["at"]
+    quiet_cpu = (cpu_after - cpu_before) / seconds
+    quiet_bytes = sum(after[name] - before[name] for name in ("bytes_in", "bytes_out")) / seconds
+
+    lab.progress("changes")
+    # each comes before the call is over that waits for it, so that nothing of quiet is among what they cost;
+    # those that only undo one are counted as well
+    count = 0
+    before, cpu_before = after, cpu_after
+    for index, (_, text) in enumerate(list_change.Changes(lines, rng, parameters.changes), 3):
+        discovery.ask("change", index=index, endpoints=orjson.loads(text)["endpoints"])
+        after = taken(discovery)
+        count += 1
+    cpu_after = process_cpu_s(router.pid)
+    change_cpu = (cpu_after - cpu_before) / count
+    # discovery's bytes in are the router's out
+    change_out = (after["bytes_in"] - before["bytes_in"]) / count
+    change_in = (after["bytes_out"] - before["bytes_out"]) / count
+    most_resident = psutil.Process(router.pid).memory_info().rss
+    references.append(list_change.reference())
+    lab.stop(router)
+    lab.stop(standin)
+    yield Sample(
+        {
+            "start_cpu_s": start_cpu_s,
+            "process_change_cpu_s": change_cpu,
+            "quiet_core_share": quiet_cpu,
+            "core_share": quiet_cpu + changes_per_s * change_cpu,
+            "resident_bytes": float(resident),
+            "most_resident_bytes": float(most_resident),
+            "change_bytes_in": change_in,
+            "change_bytes_out": change_out,
+            "quiet_bytes_per_s": quiet_bytes,
+            "bytes_per_s": quiet_bytes + changes_per_s * (change_in + change_out),
+            "first_list_bytes": float(started["bytes_out"]),
+            "reference_cpu_s": statistics.fmean(references),
+        }
+    )
