--- a/scalelab/__main__.py
+++ b/scalelab/__main__.py
@@ -20,7 +20,7 @@
 STATUSES = """\b
 Exit status:
   0    measured, and every budget is kept
-  1    a budget is broken, or the run ended before it was measured
+  1    a budget is broken, or the time limit came before all was measured
   2    bad input: one line names the file and the field
   3    a measurement failed; the log says how
   130  Ctrl-C or SIGTERM; what was measured until then is kept
@@ -76,6 +76,10 @@
     checked, kind, parameters = load_experiment(experiment)
     if label and not label.replace("-", "").isalnum():
         raise InputError(f"{experiment}: --label: letters, digits and - only, not {label!r}")
+    try:
+        out.mkdir(parents=True, exist_ok=True)
+    except OSError as e:
+        raise InputError(f"{out}: --out: {e.strerror or e}") from e
     path = out / f"{checked.name}{'.' if label else ''}{label}.json"
     try:
         result, broken_off = run_experiment(checked, kind, parameters, path)
@@ -90,7 +94,7 @@
     broken = result.broken_budgets()
     for line in broken:
         click.echo(f"budget broken: {line}")
-    sys.exit(BROKEN if broken else KEPT)
+    sys.exit(KEPT if result.complete and not broken else BROKEN)
 
 
 @cli.command()
