--- a/scalelab/__main__.py
+++ b/scalelab/__main__.py
@@ -103,7 +103,7 @@
     """List what can be measured; with KIND its parameters, columns of sizes and metrics."""
     if kind is None:
         for name in kind_names():
-            click.echo(f"{name:16}{(kind_named(name).__doc__ or '').partition(chr(10))[0]}")
+            click.echo(f"{name:22}{(kind_named(name).__doc__ or '').partition(chr(10))[0]}")
         return
     if kind not in kind_names():
         raise InputError(f"kinds: KIND: must be one of {', '.join(kind_names())}, not {kind!r}")
--- a/scalelab/experiment.py
+++ b/scalelab/experiment.py
@@ -59,7 +59,8 @@
 class Kind(Protocol):
     """A module of `scalelab/kinds/`.
 
-    It may also say which columns its sizes have: as `SIZES`, column -> meaning, or as `Size`, a schema.
+    It may also say which columns its sizes have: as `SIZES`, names or name -> meaning, or as `Size`,
+    a schema.
     """
 
     @property
@@ -117,7 +118,8 @@
 def size_schema(kind: Kind) -> type[BaseModel] | None:
     """The schema of a kind's sizes, where it has one; each column of `SIZES` must be given, others may be."""
     if (columns := getattr(kind, "SIZES", None)) is not None:
-        fields: dict[str, Any] = {name: (float, Field(description=text)) for name, text in columns.items()}
+        meanings = columns if isinstance(columns, Mapping) else dict.fromkeys(columns, "")
+        fields: dict[str, Any] = {name: (float, Field(description=text)) for name, text in meanings.items()}
         return create_model("Size", **fields)
     return cast(type[BaseModel] | None, getattr(kind, "Size", None))
 
