Let the watch's own call say what it asks for and when it is given up

The stand-in for many routers wrote the request and its time limit a second time, from constants that the budget of the calls has replaced.

--- a/brackenwalk/net/discovery.py
+++ b/brackenwalk/net/discovery.py
@@ -123,17 +123,24 @@
         self.watch = None
         self.failed()
 
+    def next_call(self) -> tuple[str, float]:
+        """What the next call asks for, and the seconds after which it is given up.
+
+        Guards against a discovery that has gone silent: what it has to tell counts as told soon after.
+        """
+        target = "/registry/instances"
+        if self.index is None:
+            return target, self.budget.turn
+        if self.pushed and self.ask_at_once:
+            return f"{target}?after={self.index}&wait_ms=0", self.budget.turn
+        return f"{target}?after={self.index}&wait_ms={int(self.budget.wait * 1000)}", self.budget.limit
+
     async def _call(self) -> tuple[int, bool, list[Member]]:
-        at_once = self.index is None or self.pushed and self.ask_at_once
-        # guards against a discovery that has gone silent: what it has to tell counts as told soon after
-        async with asyncio.timeout(self.budget.turn if at_once else self.budget.limit):
+        target, limit = self.next_call()
+        async with asyncio.timeout(limit):
             reader, writer = await asyncio.open_connection(*address_of(self.address))
             try:
                 client = HttpClient(self.address, MAX_LIST)
-                target = "/registry/instances"
-                if self.index is not None:
-                    wait_ms = 0 if at_once else int(self.budget.wait * 1000)
-                    target += f"?after={self.index}&wait_ms={wait_ms}"
                 writer.write(client.request("GET", target, [(b"Connection", b"close")]))
                 response = None
                 while response is None:
--- a/scalelab/hollow.py
+++ b/scalelab/hollow.py
@@ -23,7 +23,7 @@
 from typing import Any
 
 from brackenwalk import interface as api
-from brackenwalk.net.discovery import ANSWER_MARGIN, MAX_LIST, WATCH_WAIT, Discovery, ListError, read_list
+from brackenwalk.net.discovery import MAX_LIST, Discovery, ListError, read_list
 from brackenwalk.net.host import Host, Member
 from brackenwalk.net.origin import OriginConnection
 from brackenwalk.net.pool import Pool, address_of
@@ -82,13 +82,10 @@
     """The real watch with a call of its own: the same request and times, and only the index is kept."""
 
     async def _call(self) -> tuple[int, bool, list[Member]]:
-        at_once = self.pushed and (self.ask_at_once or self.index is None)
-        target = "/registry/instances"
-        if self.index is not None:
-            target += f"?after={self.index}&wait_ms={0 if self.ask_at_once else int(WATCH_WAIT * 1000)}"
+        target, limit = self.next_call()
         request = f"GET {target} HTTP/1.1\r\nHost: {self.address}\r\nConnection: close\r\n\r\n".encode()
         loop = asyncio.get_running_loop()
-        async with asyncio.timeout(ANSWER_MARGIN if at_once else WATCH_WAIT + ANSWER_MARGIN):
+        async with asyncio.timeout(limit):
             done: asyncio.Future[bytes] = loop.create_future()
             transport, _ = await loop.create_connection(
                 lambda: LightCall(request, done), *address_of(self.address)
@@ -135,7 +132,9 @@
         self.host = make(settings, seed, servers, origin, self._subscribe)
         self.pushed = not settings.subscribe
         watch = LightDiscovery if fleet.held == "index" else Discovery
-        self.discovery = watch(address, index, self._told, self._failed, self.pushed)
+        self.discovery = watch(
+            address, index, self._told, self._failed, self.pushed, budget=settings.watch_budget
+        )
 
     def begin(self, known: list[Member]) -> None:
         """Take the list known before and begin to watch, as the program does."""
