Keep no more idle connections at a server than fit, also where they have no price

Cause: `_close_idle` closed idle connections only where the settings price them. Without a price every router kept one for 10 s at every server it met.

Change: without a price the fleet's idle connections at a server are held to 100, the unit in which settings price them: a connection is kept for as long as so many come in at the fleet's rate (Little's law), less after refusals. Up to 100 routers one each fits, and nothing changes. Where a price is told, nothing changes. Ruled out: a ring for each group of zones.

--- a/brackenwalk/policy.py
+++ b/brackenwalk/policy.py
@@ -38,6 +38,9 @@
 ABREAST = 4.0  # requests a server works on at once, about: what waits there goes by so many at a time
 SILENCE = 1.0  # shortest aims without any answer: longer than pauses, soon enough to matter
 KEEP = 0.5  # of the idle time at which a connection costs as much as the handshake it saves
+TABLE = (
+    100  # connections at each server: the unit in which settings price them, and what all routers may keep
+)
 KEEP_GAIN = 0.01  # of the way back to KEEP with each answer, after failures have cut it by half each
 FAILED = (api.Status.ERROR, api.Status.RESET, api.Status.CONNECT_FAILED)  # fast, and telling nothing of load
 CHEAP = (api.Status.FULL, api.Status.CONNECT_FAILED)  # told at once, and no work for any server
@@ -432,12 +435,19 @@
                 self._wake_in_time(held)
 
     def _close_idle(self, server: Server | None) -> None:
-        """Guards against full tables: an idle connection goes once its price has passed a new one's."""
+        """Guards against full tables: an idle connection goes once its price has passed a new one's.
+
+        Where neither has a price, the idle ones that the whole fleet keeps at a server still have to fit:
+        at the fleet's rate, so many come to lie there within `keep` (Little's law).
+        """
+        if server is None or server.load:
+            return
         price = self.settings.connection_price
-        if server is None or server.load or not price:
+        if not price and self.settings.siblings <= TABLE:  # one of each router fits
             return
         rate = self.taken / max(self.now - self.born, self.shortest_aim) * self.settings.siblings
-        keep = self.keep * self.settings.handshake_price / price * 100 * len(self.caches) / rate
+        idle = TABLE * (self.keep * self.settings.handshake_price / price if price else self.keep / KEEP)
+        keep = idle * len(self.caches) / rate
         left = server.used_at + keep - self.now
         if left < self.settings.tick:
             self.out.append(api.Close(server.entry.server))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -569,6 +569,41 @@
     assert not [a for a in few.last if isinstance(a, api.Close)]
 
 
+class Keeping(Driver):
+    """Knows the servers to which a connection is kept."""
+
+    def __init__(self, conf: api.Settings) -> None:
+        super().__init__(conf)
+        self.kept: set[str] = set()
+
+    def check(self, action: api.Action) -> None:
+        if isinstance(action, api.Close):
+            self.kept.discard(action.server)
+        super().check(action)
+
+
+@pytest.mark.parametrize(("siblings", "most"), [(100, 100.0), (500, 120.0), (5000, 120.0)])
+def test_idle_connections_of_a_large_fleet_fit_into_a_table_without_a_price(
+    siblings: int, most: float
+) -> None:
+    """Each router kept one at every server it had met: those of 730 filled a table of 600."""
+    d = Keeping(settings(siblings=siblings))
+    d.list(*fleet(*"abcdefgh", "o"))
+    at_a_server = []  # kept by a fleet of which this router is the mean
+    for n in range(2000):  # two hundred a second
+        name = f"r{n}"
+        server = d.request(name, key=f"k{n}")
+        assert server is not None
+        d.kept.add(server)
+        d.ok(name)
+        d.wait(0.005)
+        at_a_server.append(len(d.kept) / 9 * siblings)
+    mean = sum(at_a_server[200:]) / len(at_a_server[200:])
+    assert mean <= most
+    if siblings <= 100:  # one of each fits: none is closed
+        assert mean == 100.0
+
+
 def test_refused_connections_shorten_how_long_idle_ones_are_kept() -> None:
     d = Driver(settings())
     d.list(*fleet("a", "b"))
