--- a/scalelab/kinds/watch.py
+++ b/scalelab/kinds/watch.py
@@ -59,7 +59,6 @@
 
 SIZES = {"routers": "that watch, the real ones among them", "caches": "entries of the list"}
 METRICS = {
-    "start_s": "seconds from the first router's start until all had a change made 1 s after the last one's",
     "calls_per_s": "calls at discovery, quiet",
     "connections_per_s": "connections opened to discovery, quiet",
     "peak_calls_per_100ms": "calls at discovery in the busiest tenth of a second, quiet",
@@ -78,6 +77,7 @@
     "change_discovery_cpu_per_router_s": "the same for each router",
     "change_out_per_router_bytes": "bytes of HTTP to each router for a change",
     "change_calls_per_router": "calls of each router for a change",
+    "change_peak_calls_per_100ms": "calls at discovery in the busiest tenth of a second, with changes",
     "change_real_cpu_s": "CPU seconds of one real router for a change",
     "written_s": "seconds from a change until discovery had written it to all that waited, median of changes",
     **{
@@ -154,8 +154,8 @@
         self.processes.append(process)
         return Control(process, name, PATIENCE_S)
 
-    def start(self, mode: Mode) -> float:
-        """Start all; the seconds until every router follows the changes."""
+    def start(self, mode: Mode) -> None:
+        """Start all, spread over the time in which a call waits, so that their calls don't come in step."""
         counts = [min(self.parameters.real, self.routers)]
         others = self.routers - counts[0]
         hollows = self.parameters.hollows if others else 0
@@ -180,13 +180,9 @@
                 known=known,
                 spread_s=self.parameters.spread_s,
             )
-        began = time.monotonic()
         for control in every:
             control.reply()
         time.sleep(self.parameters.spread_s + 1.0)
-        self.change()
-        self.followed(self.parameters.return_most_s)
-        return time.monotonic() - began
 
     def stop(self) -> None:
         """End all, so that the next mode starts anew."""
@@ -260,7 +256,6 @@
 
 def quiet(fleet: Fleet) -> dict[str, float]:
     """The standing price."""
-    time.sleep(PHASE_S)
     before = fleet.usage()
     time.sleep(fleet.parameters.quiet_s)
     after = fleet.usage()
@@ -292,6 +287,8 @@
 
 def changes(fleet: Fleet) -> tuple[dict[str, float], HdrHistogram]:
     """The price of changes that come before a call has waited its time, and how they spread."""
+    fleet.change()  # from here on all wait in step, as wherever changes are frequent
+    fleet.followed(fleet.parameters.return_most_s)
     before = fleet.usage()
     written, first = [], fleet.index + 1
     for _ in range(fleet.parameters.changes):
@@ -315,6 +312,7 @@
         "change_discovery_cpu_per_router_s": each["cpu_s"] / fleet.routers,
         "change_out_per_router_bytes": each["bytes_out"] / fleet.routers,
         "change_calls_per_router": each["calls"] / fleet.routers,
+        "change_peak_calls_per_100ms": peak(fleet.calls_since(before["at"]), 1),
         "change_real_cpu_s": each["real_cpu_s"] / real,
         "written_s": sorted(written)[len(written) // 2],
         "spread_p50_s": share_at(spread, 0.5),
@@ -364,14 +362,16 @@
         fleet = Fleet(parameters, size, seed, lab)
         try:
             lab.progress(f"list {mode}: start")
-            start_s = fleet.start(mode)
+            fleet.start(mode)
             if mode == parameters.modes[0]:
-                sample.metrics["start_s"] = start_s
                 lab.progress("quiet")
                 sample.metrics |= quiet(fleet)
                 lab.progress("changes")
                 metrics, sample.histograms["spread"] = changes(fleet)
                 sample.metrics |= metrics
+            else:
+                fleet.change()
+                fleet.followed(parameters.return_most_s)
             for how in parameters.outages:
                 lab.progress(f"list {mode}: outage {how}")
                 name = f"return_{mode}_{how}"
