Scale experiments: connections and handshakes by many instances of the module

What a page cache holds of 7,100 routers can't be opened on one machine. scalelab/fleet.py runs a sample of the routers' decision module on a simulated clock, with its pool of connections, and scales what a page cache holds of them up to the fleet.

--- /dev/null
+++ b/scalelab/fleet.py
@@ -0,0 +1,892 @@
+"""Many instances of the decision module before modelled page caches, on a simulated clock.
+
+Each instance is a `brackenwalk.policy.Router` that is told only its own events. What it asks for is done as
+`brackenwalk/net/host.py` and `brackenwalk/net/pool.py` do it: one attempt at a time on a connection, which is
+kept until the module closes it, its idle time is over, or the budget of descriptors needs its place.
+
+A large fleet is simulated by a sample of its routers: `Model.routers` are told to the module as siblings,
+`Model.sampled` of them are run, and the cores and places of the page caches hold for the sample. What is
+counted at a page cache is then of the sample, and `Model.scale` times as much of the fleet. A mean scales as
+it is; a spread does not, see `Table.high`.
+"""
+
+from __future__ import annotations
+
+import bisect
+import heapq
+import itertools
+import math
+import random
+import time
+from collections import OrderedDict, deque
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+import numpy as np
+
+from brackenwalk import interface as api
+from brackenwalk.policy import Router
+
+START = 1000.0  # of the simulated clock; a list's time of 0 means long ago
+IDLE_MARGIN = 0.5  # as in brackenwalk/net/pool.py, which this module does not load: it needs an event loop
+ORIGIN = "origin"
+READ, WRITE = "page-read", "markings-save"
+BLOCK = 4096  # keys drawn at once
+SAMPLE_EVERY = 16  # calls of the module of which one is timed
+
+
+def site_settings(**changes: Any) -> api.Settings:
+    """Settings of the first customer's site, as the wire's example tells them, with some changed."""
+    classes = (
+        api.RequestClass(READ, aim=0.3, deadline=1.2, worth=3.0),
+        api.RequestClass(WRITE, 0.5, api.Effect.KEYED, api.Group.ALL, window=5.0, worth=2.0, deadline=1.0),
+    )
+    settings = api.Settings(
+        classes={c.name: c for c in classes},
+        aside=True,
+        origin_kind=ORIGIN,
+        second_copies=True,
+        may_cancel=True,
+        max_attempts=4,
+        report=("svc_ms", "pending"),
+        connection_idle=10.0,
+        dial_timeout=0.12,
+        max_retry_after=1.2,
+        cold_share=0.32,
+        ramp=8.9,
+        fall_multiple=4.0,
+        fall_window=2.0,
+        drain_grace=0.5,
+    )
+    return replace(settings, **changes)
+
+
+@dataclass(slots=True, frozen=True)
+class Model:
+    """The fleet round the instances. Times in seconds; counts are of the sample unless said otherwise."""
+
+    routers: int  # of the fleet, told to the module as siblings
+    caches: int
+    requests_per_s: float  # first tries at each router
+    sampled: int = 0  # routers that are run; 0 is all of them
+    zones: int = 1  # caches and routers are dealt out to them in turn
+    regions: int = 1  # zones are dealt out to them in turn
+    objects: int = 100_000  # there are
+    skew: float = 0.95  # Zipf's exponent
+    flat: float = 10.0  # added to each rank, which flattens the top
+    kept: int = 0  # objects that a cache holds, used last first; 0 draws hits by chance
+    hit_share: float = 0.9  # where they are drawn
+    write_share: float = 0.03
+    service: tuple[float, float] = (0.035, 0.064)  # of a request that hits, evenly between
+    miss_service: float = 0.002
+    cores: int = 0  # of a cache; 0 is as many as are needed, and nothing ever waits
+    queue: int = 20  # places for each core
+    places: int = 0  # connections that a cache accepts; 0 is any number
+    handshake_work: float = 0.0015  # of a core
+    handshake_trips: float = 2.5  # there and back
+    one_way: tuple[float, float, float] = (0.0002, 0.001, 0.004)  # same zone, same region, elsewhere
+    origin_cores: int = 0
+    origin_service: tuple[float, float] = (0.03, 0.07)
+    origin_queue: float = 1.0  # seconds of waiting that it accepts
+    report_every: float = 0.25  # a load report is so old at most
+    descriptors: int = 372  # of a router for caches: 3/8 of 1,024 but for a reserve of 32
+    origin_descriptors: int = 124
+    rest: float = 0.01  # of a connection after an answer
+    tries: int = 3  # of a client in all
+    backoff: tuple[float, float] = (0.012, 0.1)
+    patience: tuple[float, float] = (0.6, 0.96)  # of a client for one try: 50 to 80% of a read's time
+
+    @property
+    def run(self) -> int:
+        return min(self.sampled or self.routers, self.routers)
+
+    @property
+    def scale(self) -> float:
+        """Routers of the fleet for each that is run."""
+        return self.routers / self.run
+
+    @property
+    def mean_service(self) -> float:
+        """Seconds of a core for a read or its miss."""
+        hits = self.hit_share
+        return hits * sum(self.service) / 2 + (1 - hits) * self.miss_service
+
+
+class Table:
+    """How many connections one end holds, over time."""
+
+    __slots__ = ("area", "changed", "most", "now", "since", "squares")
+
+    def __init__(self, at: float) -> None:
+        self.now = 0
+        self.reset(at)
+
+    def reset(self, at: float) -> None:
+        self.since = self.changed = at
+        self.area = self.squares = 0.0
+        self.most = self.now
+
+    def add(self, count: int, at: float) -> None:
+        span = at - self.changed
+        self.area += span * self.now
+        self.squares += span * self.now * self.now
+        self.changed = at
+        self.now += count
+        self.most = max(self.most, self.now)
+
+    def mean(self, at: float) -> float:
+        self.add(0, at)
+        return self.area / max(at - self.since, 1e-9)
+
+    def high(self, at: float, scale: float) -> float:
+        """The 99th percentile over time of the whole fleet's count, worked out from a sample's.
+
+        The routers are independent of each other, so that both the mean and the variance of a sum of `scale`
+        as many are `scale` times as large; the sum is taken as normal.
+        """
+        mean = self.mean(at)
+        variance = max(0.0, self.squares / max(at - self.since, 1e-9) - mean * mean)
+        return scale * mean + 2.326 * math.sqrt(scale * variance)
+
+
+@dataclass(slots=True, eq=False)
+class Cache:
+    """A page cache, or the origin."""
+
+    entry: api.ServerEntry
+    zone: int
+    region: int
+    cores: int
+    queue_places: int
+    table: Table
+    up: bool = True
+    refuses: bool = False  # a dead process does; a machine that vanished stays silent
+    since: float = 0.0  # start of the process; connections of an older one are gone
+    busy: int = 0
+    queue: deque[Attempt] = field(default_factory=deque)
+    contents: OrderedDict[str, None] = field(default_factory=OrderedDict)
+    report: api.Load = api.Load(0.0, 0.0)
+    reported_at: float = -math.inf
+    smoothed: float = 0.0
+    arrivals: list[float] | None = None  # times, where they are watched
+    received: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class Connection:
+    """A connection of one router to one cache."""
+
+    instance: Instance
+    cache: Cache
+    process: float
+    kept_at: float = 0.0
+    idle: bool = False
+    watched: bool = False  # an event for its idle time is out
+    open: bool = True
+    fresh: bool = True  # nothing sent yet: the handshake's work is still to be done
+
+
+@dataclass(slots=True, eq=False)
+class Taken:
+    """A request at a router."""
+
+    name: str
+    instance: Instance
+    wish: Wish
+    deadline: float
+    sent: int = 0
+    closed: bool = False
+    overdue: bool = False
+    out: dict[int, Attempt] = field(default_factory=dict)
+    missed: list[Cache] = field(default_factory=list)
+
+
+@dataclass(slots=True, eq=False)
+class Wish:
+    """What a client wants, in one try or more."""
+
+    key: str
+    write: bool
+    born: float
+    tries: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One send."""
+
+    taken: Taken
+    number: int
+    cache: Cache
+    sent_at: float
+    connection: Connection | None = None
+    ended: bool = False
+    handshake: bool = False
+
+
+class Instance:
+    """One router: the module, its list and its connections."""
+
+    __slots__ = (
+        "alive",
+        "events",
+        "handling",
+        "idle",
+        "idle_at",
+        "index",
+        "listed",
+        "met",
+        "origin_idle",
+        "origin_open",
+        "region",
+        "requests",
+        "router",
+        "table",
+        "zone",
+    )
+
+    def __init__(self, index: int, zone: int, region: int, router: Router, table: Table) -> None:
+        self.index = index
+        self.zone = zone
+        self.region = region
+        self.router = router
+        self.table = table  # of its connections to caches
+        self.alive = True
+        self.listed: dict[str, api.ServerEntry] = {}
+        self.requests: dict[str, Taken] = {}
+        self.idle: dict[Connection, None] = {}
+        self.idle_at: dict[str, dict[Connection, None]] = {}
+        self.origin_idle: deque[Connection] = deque()
+        self.origin_open = 0
+        self.events: deque[api.Event] = deque()
+        self.handling = False
+        self.met: set[str] = set()
+
+
+SERIES = ("wishes", "served", "requests", "refused", "failed", "attempts", "dials", "dials_failed", "origin")
+
+
+class Fleet:
+    """The simulation. `run` lets time pass; what is counted since `reset` is in `counts` and `series`."""
+
+    def __init__(self, settings: api.Settings, model: Model, seed: int) -> None:
+        self.model = model
+        self.settings = replace(settings, siblings=model.routers)
+        self.random = random.Random(seed)
+        self.draw = np.random.default_rng(seed)
+        self.now = START
+        self.heap: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
+        self.order = itertools.count()
+        self.names = itertools.count()
+        self.instances: list[Instance] = []
+        self.cut: set[int] = set()  # regions whose routers reach only their own caches
+        self.idle_time = max(0.0, self.settings.connection_idle - IDLE_MARGIN)
+        self.calls = 0
+        self.timed_calls = 0
+        self.timed_s = 0.0
+        self.answers = 0
+        self.asked = self.asked_before = 0
+        self._make_caches()
+        self._make_keys()
+        entries = tuple(c.entry for c in [*self.caches.values(), self.origin])
+        for i in range(model.run):
+            self.instances.append(self._make_instance(i, entries))
+        self.reset()
+        for instance in self.instances:
+            self.at(self._pause(), self._arrive, instance)
+        if model.kept:
+            self._fill()
+
+    # Setting up
+
+    def _make_caches(self) -> None:
+        model = self.model
+        self.caches: dict[str, Cache] = {}
+        for i in range(model.caches):
+            name = f"s-{i:08x}"
+            zone = i % model.zones
+            entry = api.ServerEntry(name, kind="std-1c", zone=f"z{zone}", cell=i // 8, weight=1.0)
+            places = model.queue * max(1, model.cores)
+            self.caches[name] = Cache(entry, zone, zone % model.regions, model.cores, places, Table(self.now))
+        entry = api.ServerEntry("s-origin", kind=ORIGIN, zone="z0", weight=1.0)
+        wait = math.ceil(model.origin_queue * model.origin_cores / (sum(model.origin_service) / 2))
+        self.origin = Cache(entry, 0, 0, model.origin_cores, wait, Table(self.now))
+
+    def _make_keys(self) -> None:
+        ranks = np.arange(1, self.model.objects + 1, dtype=np.float64) + self.model.flat
+        weights = ranks**-self.model.skew
+        self.popularity = weights / weights.sum()
+        self.cumulative = np.cumsum(self.popularity)
+        self.drawn: list[int] = []
+
+    def _make_instance(self, index: int, entries: Sequence[api.ServerEntry]) -> Instance:
+        zone = index % self.model.zones
+        router = Router(self.settings, self.random.getrandbits(48), self.now)
+        instance = Instance(index, zone, zone % self.model.regions, router, Table(self.now))
+        instance.listed = {e.server: e for e in entries}
+        self.post(instance, api.ServerList(api.ListKind.FULL, tuple(entries)))
+        return instance
+
+    def _fill(self) -> None:
+        """Let each cache hold the most popular of the keys that a router would ask it for."""
+        router = Router(self.settings, 0, START)
+        router.handle(START, api.ServerList(api.ListKind.FULL, tuple(c.entry for c in self.caches.values())))
+        most = min(self.model.objects, 2 * self.model.kept * self.model.caches)
+        full = 0
+        for rank in range(most):
+            name = f"fill-{rank}"
+            actions = router.handle(START, api.Request(name, READ, 1.0, key=f"page:{rank}"))
+            for action in actions:
+                if isinstance(action, api.Send) and action.server in self.caches:
+                    contents = self.caches[action.server].contents
+                    if len(contents) < self.model.kept:
+                        contents[f"page:{rank}"] = None
+                        full += len(contents) == self.model.kept
+                    mean = sum(self.model.service) / 2
+                    router.handle(START, api.Outcome(name, 0, api.Status.OK, True, mean))
+            if full == len(self.caches):
+                break
+        for cache in self.caches.values():
+            for key in reversed(list(cache.contents)):  # the most popular as the ones used last
+                cache.contents.move_to_end(key)
+
+    def reset(self) -> None:
+        """Count from here on."""
+        self.counted_from = self.now
+        self.counts = dict.fromkeys((*SERIES, "handshakes", "moot", "timeouts", "misses"), 0)
+        self.series: dict[str, list[int]] = {name: [] for name in SERIES}
+        self.latencies: list[float] = []
+        self.met_counts: list[int] = []
+        for table in [c.table for c in self.caches.values()] + [i.table for i in self.instances]:
+            table.reset(self.now)
+        for cache in self.caches.values():
+            cache.received = 0
+
+    # The clock
+
+    def at(self, delay: float, call: Callable[..., None], *args: Any) -> None:
+        heapq.heappush(self.heap, (self.now + delay, next(self.order), call, args))
+
+    def run(self, seconds: float, stop: Callable[[], bool] = lambda: False) -> bool:
+        """Let time pass; answers with whether it was not stopped before. `stop` is asked now and then."""
+        until = self.now + seconds
+        for step in itertools.count(1):
+            if not self.heap or self.heap[0][0] > until:
+                break
+            if step % 10_000 == 0 and stop():
+                return False
+            self.now, _, call, args = heapq.heappop(self.heap)
+            call(*args)
+        self.now = until
+        return True
+
+    def count(self, what: str, at: float | None = None) -> None:
+        self.counts[what] += 1
+        series = self.series.get(what)
+        if series is not None:
+            second = int((self.now if at is None else at) - self.counted_from)
+            if second >= 0:
+                series.extend([0] * (second + 1 - len(series)))
+                series[second] += 1
+
+    def watch_meetings(self, every: float) -> None:
+        """Count, for each span of so many seconds, the caches that each router sends to."""
+        for instance in self.instances:
+            instance.met.clear()
+        self.at(every, self._note_meetings, every)
+
+    def _note_meetings(self, every: float) -> None:
+        self.met_counts.extend(len(i.met) for i in self.instances)
+        self.watch_meetings(every)
+
+    # The list and the network
+
+    def tell(self, instance: Instance, entries: Iterable[api.ServerEntry]) -> None:
+        """Tell an instance of changes; what it kept to a server that changed is closed, as the host does."""
+        if not instance.alive:
+            return
+        entries = tuple(entries)
+        for entry in entries:
+            old = instance.listed.get(entry.server)
+            if entry.state is api.State.GONE:
+                instance.listed.pop(entry.server, None)
+            else:
+                instance.listed[entry.server] = entry
+            if old is not None and (not entry.ready or entry.since != old.since):
+                self._close_idle(instance, entry.server)
+        self.post(instance, api.ServerList(api.ListKind.DELTA, entries))
+
+    def tell_all(self, names: Iterable[str], state: api.State, notice: float, spread: float) -> None:
+        """Tell each instance of servers' state after a notice and its own share of a spread, in seconds."""
+        entries = tuple(replace(self.caches[n].entry, state=state) for n in names)
+        for instance in self.instances:
+            self.at(notice + self.random.uniform(0, spread), self.tell, instance, entries)
+
+    def lose(self, names: Iterable[str], silent: bool = True) -> None:
+        """Caches vanish with all they hold, or their processes die."""
+        for name in names:
+            cache = self.caches[name]
+            cache.up, cache.refuses = False, not silent
+            cache.queue.clear()
+            cache.busy = 0
+            cache.contents.clear()
+            cache.since = self.now
+
+    def give_back(self, names: Iterable[str]) -> None:
+        """They start again, cold and empty."""
+        for name in names:
+            cache = self.caches[name]
+            cache.up, cache.refuses = True, False
+            cache.since = self.now
+            cache.entry = replace(cache.entry, since=self.now)
+            cache.smoothed, cache.reported_at = 0.0, -math.inf
+
+    def restart(self, instance: Instance, entries: Sequence[api.ServerEntry]) -> None:
+        """Replace an instance by one that knows only a list; what it owed is asked again by its clients."""
+        instance.alive = False
+        for connection in list(instance.idle):
+            self._drop(connection)
+        for taken in list(instance.requests.values()):
+            for attempt in list(taken.out.values()):
+                attempt.ended = True
+                if attempt.connection is not None:
+                    self._drop(attempt.connection)
+            if not taken.closed:
+                self._answer(taken, "failed")
+        fresh = self._make_instance(instance.index, entries)
+        self.instances[instance.index] = fresh
+        self.at(self._pause(), self._arrive, fresh)
+
+    def reachable(self, instance: Instance, cache: Cache) -> bool:
+        if not cache.up:
+            return False
+        return instance.region == cache.region or not (
+            instance.region in self.cut or cache.region in self.cut
+        )
+
+    def share(self, cache: Cache) -> float:
+        """Of its capacity that a cache has now: evenly from the cold share to all of it."""
+        age = self.now - cache.since
+        ramp = self.settings.ramp
+        if cache.since <= 0 or age >= ramp:
+            return 1.0
+        return self.settings.cold_share + (1 - self.settings.cold_share) * age / ramp
+
+    def one_way(self, instance: Instance, cache: Cache) -> float:
+        if instance.zone == cache.zone:
+            return self.model.one_way[0]
+        return self.model.one_way[1 if instance.region == cache.region else 2]
+
+    # Clients
+
+    def _pause(self) -> float:
+        return self.random.expovariate(self.model.requests_per_s)
+
+    def _arrive(self, instance: Instance) -> None:
+        if not instance.alive:
+            return
+        self.at(self._pause(), self._arrive, instance)
+        if not self.drawn:
+            ranks = np.searchsorted(self.cumulative, self.draw.random(BLOCK))
+            self.drawn = np.minimum(ranks, self.model.objects - 1).tolist()
+        wish = Wish(f"page:{self.drawn.pop()}", self.random.random() < self.model.write_share, self.now)
+        self.count("wishes")
+        self._ask(instance, wish)
+
+    def _ask(self, instance: Instance, wish: Wish) -> None:
+        instance = self.instances[instance.index]  # the one that runs now
+        wish.tries += 1
+        name = f"{next(self.names):016x}"
+        patience = self.random.uniform(*self.model.patience) - 0.02  # as the host's margin
+        taken = Taken(name, instance, wish, self.now + patience)
+        instance.requests[name] = taken
+        self.asked += 1
+        self.count("requests")
+        self.at(patience, self._overdue, taken)
+        kind = WRITE if wish.write else READ
+        self.post(instance, api.Request(name, kind, patience, wish.key, write=wish.write))
+
+    def _answer(self, taken: Taken, how: str) -> None:
+        """Give a request its one answer."""
+        if taken.closed:
+            raise AssertionError(f"a second answer to {taken.name}: {how}")
+        taken.closed = True
+        self.answers += 1
+        wish = taken.wish
+        if how == "served":
+            self.count("served", wish.born)
+            self.latencies.append(self.now - wish.born)
+            return
+        self.count(how)
+        if wish.tries < self.model.tries:
+            pause = self.random.uniform(*self.model.backoff) * 2 ** (wish.tries - 1)
+            self.at(pause, self._ask, taken.instance, wish)
+
+    # The host
+
+    def post(self, instance: Instance, event: api.Event) -> None:
+        if not instance.alive:
+            return
+        instance.events.append(event)
+        if instance.handling:
+            return
+        instance.handling = True
+        while instance.events:
+            event = instance.events.popleft()
+            self.calls += 1
+            if self.calls % SAMPLE_EVERY:
+                actions = instance.router.handle(self.now, event)
+            else:
+                start = time.thread_time()
+                actions = instance.router.handle(self.now, event)
+                self.timed_s += time.thread_time() - start
+                self.timed_calls += 1
+            for action in actions:
+                self._carry_out(instance, action)
+        instance.handling = False
+
+    def _carry_out(self, instance: Instance, action: api.Action) -> None:
+        if isinstance(action, api.SetTimer):
+            self.at(action.delay, self.post, instance, api.TimerFired(action.token))
+        elif isinstance(action, api.Send):
+            self._send(instance, action)
+        elif isinstance(action, (api.Refuse, api.Fail)):
+            taken = instance.requests.get(action.request)
+            if taken is not None and not taken.closed:
+                self._answer(taken, "refused" if isinstance(action, api.Refuse) else "failed")
+                self._forget(taken)
+        elif isinstance(action, api.Cancel):
+            taken = instance.requests.get(action.request)
+            attempt = taken.out.get(action.attempt) if taken is not None else None
+            if attempt is not None:
+                self._give_up(attempt, api.Status.CANCELLED)
+        elif isinstance(action, api.Close):
+            self._close_idle(instance, action.server)
+
+    def _forget(self, taken: Taken) -> None:
+        if taken.closed and not taken.out:
+            taken.instance.requests.pop(taken.name, None)
+
+    def _overdue(self, taken: Taken) -> None:
+        if not taken.instance.alive:
+            return
+        taken.overdue = True
+        for attempt in list(taken.out.values()):
+            self._give_up(attempt, api.Status.TIMEOUT)
+        if not taken.closed:  # the module had its last event for it and gave no answer
+            self.at(self.settings.tick * 4, self._check_answered, taken)
+
+    def _check_answered(self, taken: Taken) -> None:
+        if not taken.closed and taken.instance.alive:
+            raise AssertionError(f"no answer in time to {taken.name}")
+
+    def _send(self, instance: Instance, action: api.Send) -> None:
+        taken = instance.requests.get(action.request)
+        if taken is None:
+            return
+        cache = self.caches.get(action.server, self.origin)
+        attempt = Attempt(taken, taken.sent, cache, self.now)
+        taken.sent += 1
+        taken.out[attempt.number] = attempt
+        status = self._objection(attempt)
+        if attempt.number >= self.settings.max_attempts:
+            status = api.Status.MOOT
+        if status is not None:
+            self._finish(attempt, status)
+            return
+        if cache is self.origin:
+            self._start_at_origin(attempt)
+            return
+        instance.met.add(action.server)
+        self.count("attempts")
+        kept = self._take(instance, cache)
+        if kept is not None:
+            self._begin(kept, attempt)
+        elif self._has_room(instance):
+            self._dial(instance, attempt)
+        else:
+            self._finish(attempt, api.Status.MOOT)
+
+    def _objection(self, attempt: Attempt) -> api.Status | None:
+        if attempt.taken.closed or attempt.taken.overdue:
+            return api.Status.MOOT
+        entry = attempt.taken.instance.listed.get(attempt.cache.entry.server)
+        return None if entry is not None and entry.ready else api.Status.CONNECT_FAILED
+
+    def _give_up(self, attempt: Attempt, status: api.Status) -> None:
+        if attempt.connection is not None:
+            self._drop(attempt.connection)
+        if status is api.Status.TIMEOUT:
+            self.count("timeouts")
+        self._finish(attempt, status)
+
+    def _finish(self, attempt: Attempt, status: api.Status, load: api.Load | None = None) -> None:
+        taken = attempt.taken
+        if attempt.ended:
+            return
+        attempt.ended = True
+        del taken.out[attempt.number]
+        if status is api.Status.OK and not taken.closed:
+            self._answer(taken, "served")
+        if status is api.Status.MOOT:
+            self.count("moot")
+        event = api.Outcome(
+            taken.name, attempt.number, status, taken.closed, self.now - attempt.sent_at, load
+        )
+        self.post(taken.instance, event)
+        self._forget(taken)
+
+    # The pool
+
+    def _take(self, instance: Instance, cache: Cache) -> Connection | None:
+        while (connection := next(iter(instance.idle_at.get(cache.entry.server, ())), None)) is not None:
+            if connection.kept_at > self.now - self.model.rest:
+                return None
+            self._leave_idle(connection)
+            if connection.process == instance.listed[cache.entry.server].since:
+                return connection
+            self._drop(connection)
+        return None
+
+    def _has_room(self, instance: Instance) -> bool:
+        if instance.table.now < self.model.descriptors:
+            return True
+        for connection in instance.idle:
+            self._drop(connection)
+            return True
+        return False
+
+    def _dial(self, instance: Instance, attempt: Attempt) -> None:
+        cache = attempt.cache
+        self.count("dials")
+        connection = Connection(instance, cache, instance.listed[cache.entry.server].since)
+        attempt.connection = connection
+        instance.table.add(1, self.now)
+        round_trip = 2 * self.one_way(instance, cache)
+        if not self.reachable(instance, cache) and not cache.refuses:
+            self.at(self.settings.dial_timeout, self._dial_failed, connection, attempt)
+            connection.process = -1.0  # counted at no cache
+        elif cache.refuses or self.model.places and cache.table.now >= self.model.places:
+            self.at(round_trip, self._dial_failed, connection, attempt)
+            connection.process = -1.0
+        else:
+            cache.table.add(1, self.now)
+            self.at(round_trip * self.model.handshake_trips, self._dialled, connection, attempt)
+
+    def _dial_failed(self, connection: Connection, attempt: Attempt) -> None:
+        self.count("dials_failed")
+        self._drop(connection)
+        self._finish(attempt, api.Status.CONNECT_FAILED)
+
+    def _dialled(self, connection: Connection, attempt: Attempt) -> None:
+        if not connection.open:
+            return
+        if not self.reachable(connection.instance, connection.cache):
+            left = attempt.sent_at + self.settings.dial_timeout - self.now
+            self.at(max(0.0, left), self._dial_failed, connection, attempt)
+            return
+        self.count("handshakes")
+        status = self._objection(attempt)
+        if status is None:
+            attempt.handshake = True
+            self._begin(connection, attempt)
+            return
+        if status is api.Status.MOOT:
+            self._keep(connection)
+        else:
+            self._drop(connection)
+        self._finish(attempt, status)
+
+    def _keep(self, connection: Connection) -> None:
+        connection.kept_at, connection.idle = self.now, True
+        connection.instance.idle[connection] = None
+        connection.instance.idle_at.setdefault(connection.cache.entry.server, {})[connection] = None
+        if not connection.watched:
+            connection.watched = True
+            self.at(self.idle_time, self._expire, connection)
+
+    def _expire(self, connection: Connection) -> None:
+        connection.watched = False
+        if not connection.open or not connection.idle:
+            return
+        left = connection.kept_at + self.idle_time - self.now
+        if left > 1e-6:
+            connection.watched = True
+            self.at(left, self._expire, connection)
+        else:
+            self._drop(connection)
+
+    def _leave_idle(self, connection: Connection) -> None:
+        if connection.idle:
+            connection.idle = False
+            instance, name = connection.instance, connection.cache.entry.server
+            del instance.idle[connection]
+            del instance.idle_at[name][connection]
+            if not instance.idle_at[name]:
+                del instance.idle_at[name]
+
+    def _drop(self, connection: Connection) -> None:
+        if not connection.open:
+            return
+        connection.open = False
+        self._leave_idle(connection)
+        connection.instance.table.add(-1, self.now)
+        if connection.process >= 0:
+            connection.cache.table.add(-1, self.now)
+
+    def _close_idle(self, instance: Instance, server: str) -> None:
+        for connection in list(instance.idle_at.get(server, ())):
+            self._drop(connection)
+
+    # Page caches
+
+    def _begin(self, connection: Connection, attempt: Attempt) -> None:
+        attempt.connection = connection
+        self.at(self.one_way(connection.instance, connection.cache), self._received, attempt)
+
+    def _received(self, attempt: Attempt) -> None:
+        cache, connection = attempt.cache, attempt.connection
+        assert connection is not None
+        if not self.reachable(connection.instance, cache):
+            return  # silent: the attempt ends when its router gives it up
+        if connection.process < cache.since:  # of a process that is gone
+            self._drop(connection)
+            self.at(self.one_way(connection.instance, cache), self._finish, attempt, api.Status.RESET)
+            return
+        cache.received += 1
+        if cache.arrivals is not None:
+            cache.arrivals.append(self.now)
+        if not cache.cores or cache.busy < cache.cores:
+            self._serve(cache, attempt)
+        elif len(cache.queue) >= cache.queue_places:
+            self._reply(attempt, api.Status.FULL)
+        else:
+            cache.queue.append(attempt)
+
+    def _serve(self, cache: Cache, attempt: Attempt) -> None:
+        cache.busy += 1
+        hit = self._holds(cache, attempt.taken.wish)
+        work = self.random.uniform(*self.model.service) if hit else self.model.miss_service
+        work += self.model.handshake_work if attempt.handshake else 0.0
+        work /= self.share(cache)
+        cache.smoothed += 0.1 * (work - cache.smoothed) if cache.smoothed else work
+        self.at(work, self._served, cache, attempt, api.Status.OK if hit else api.Status.MISS, cache.since)
+
+    def _holds(self, cache: Cache, wish: Wish) -> bool:
+        if not self.model.kept:
+            return self.random.random() < self.model.hit_share
+        if wish.key not in cache.contents:
+            return False
+        cache.contents.move_to_end(wish.key)
+        return True
+
+    def _served(self, cache: Cache, attempt: Attempt, status: api.Status, process: float) -> None:
+        if not cache.up or cache.since != process:
+            return
+        cache.busy -= 1
+        if cache.queue:
+            self._serve(cache, cache.queue.popleft())
+        if status is api.Status.MISS:
+            self.count("misses")
+            attempt.taken.missed.append(cache)
+        self._reply(attempt, status)
+
+    def _reply(self, attempt: Attempt, status: api.Status) -> None:
+        cache = attempt.cache
+        if self.now - cache.reported_at > self.model.report_every:
+            cache.reported_at = self.now
+            cache.report = api.Load(cache.smoothed, float(len(cache.queue)))
+        instance = attempt.taken.instance
+        if not attempt.ended and self.reachable(instance, cache):
+            self.at(self.one_way(instance, cache), self._answered, attempt, status, cache.report)
+
+    def _answered(self, attempt: Attempt, status: api.Status, load: api.Load) -> None:
+        connection = attempt.connection
+        if attempt.ended or connection is None or not connection.open:
+            return
+        if self.reachable(connection.instance, connection.cache):
+            self._keep(connection)
+            self._finish(attempt, status, load)
+
+    # The origin: its connections are kept by each router and counted by none of the figures
+
+    def _start_at_origin(self, attempt: Attempt) -> None:
+        instance, origin = attempt.taken.instance, self.origin
+        self.count("origin")
+        if not self.reachable(instance, origin):
+            self.at(self.settings.dial_timeout, self._finish, attempt, api.Status.CONNECT_FAILED)
+            return
+        if origin.cores and origin.busy >= origin.cores:
+            if len(origin.queue) >= origin.queue_places:
+                delay = 2 * self.one_way(instance, origin)
+                self.at(delay, self._finish, attempt, api.Status.FULL)
+            else:
+                origin.queue.append(attempt)
+            return
+        self._serve_at_origin(attempt)
+
+    def _serve_at_origin(self, attempt: Attempt) -> None:
+        self.origin.busy += 1
+        trip = 2 * self.one_way(attempt.taken.instance, self.origin)
+        work = self.random.uniform(*self.model.origin_service)
+        self.at(work, self._served_at_origin)
+        self.at(work + trip, self._fetched, attempt)
+
+    def _served_at_origin(self) -> None:
+        self.origin.busy -= 1
+        if self.origin.queue:
+            self._serve_at_origin(self.origin.queue.popleft())
+
+    def _fetched(self, attempt: Attempt) -> None:
+        if attempt.ended or not self.reachable(attempt.taken.instance, self.origin):
+            return
+        wish = attempt.taken.wish
+        if self.model.kept:
+            if wish.write:
+                for cache in self.caches.values():
+                    cache.contents.pop(wish.key, None)
+            for cache in attempt.taken.missed[:2]:
+                if cache.up:
+                    cache.contents[wish.key] = None
+                    if len(cache.contents) > self.model.kept:
+                        cache.contents.popitem(last=False)
+        self._finish(attempt, api.Status.OK)
+
+    # Figures
+
+    def overload(self, cache: Cache, began: float, window: float, multiple: float) -> tuple[float, float]:
+        """The largest share of a cold cache's budget that it was sent, without and with slack for chance.
+
+        Of every window of `window` seconds that begins with an arrival after `began`: what arrived, over
+        N = `multiple` x the capacity within it, and over N + 2 x root of N + 2.
+        """
+        arrivals = [t for t in cache.arrivals or () if t >= began]
+        share = strict = 0.0
+        for i, start in enumerate(arrivals):
+            count = bisect.bisect_right(arrivals, start + window) - i
+            budget = multiple * self.capacity(cache, start - began, window)
+            strict = max(strict, count / budget)
+            share = max(share, count / (budget + 2 * math.sqrt(budget) + 2))
+        return strict, share
+
+    def capacity(self, cache: Cache, age: float, window: float) -> float:
+        """Requests that a cache of some age can serve within a window: its warming is even."""
+        ramp, cold = self.settings.ramp, self.settings.cold_share
+        cold_left = max(0.0, min(window, ramp - age))  # seconds of the window in which it still warms
+        mean = cold + (1 - cold) * (age + cold_left / 2) / ramp if cold_left else 1.0
+        work = cold_left * mean + window - cold_left
+        return max(1, cache.cores) * work / self.model.mean_service
+
+    def forget_timing(self) -> None:
+        """Time the module's calls from here on: those with whole lists are apart."""
+        self.calls = self.timed_calls = 0
+        self.timed_s = 0.0
+        self.asked_before = self.asked
+
+    def calls_per_request(self) -> float:
+        return self.calls / max(1, self.asked - self.asked_before)
+
+    def handle_cpu(self) -> float:
+        """Seconds of processor time of the module for each call, from one call in `SAMPLE_EVERY`."""
+        return self.timed_s / max(1, self.timed_calls)
