--- a/scalelab/kinds/connections.py
+++ b/scalelab/kinds/connections.py
@@ -21,6 +21,7 @@
 MEETING = 10.0  # seconds within which the caches that a router meets are counted
 LEAST_RUN = 10  # routers
 
+SIZES = ("routers", "caches", "requests_per_s")
 METRICS = {
     "routers_run": "routers that were simulated; all counts at a cache are of these, scaled up to the fleet",
     "cache_connections_mean": "connections open at a page cache, mean over time and caches (scaled)",
@@ -48,7 +49,7 @@
 
 
 class Parameters(BaseModel):
-    """What all sizes of an experiment have in common."""
+    """What all sizes of an experiment have in common: each is of a whole fleet."""
 
     model_config = ConfigDict(extra="forbid")
 
@@ -70,18 +71,19 @@
     return float(np.mean(values)), float(np.percentile(values, 99)), max(values)
 
 
-def measure(parameters: Parameters, size: Mapping[str, int], seed: int, lab: Lab) -> Iterator[Sample]:
+def measure(parameters: Parameters, size: Mapping[str, float], seed: int, lab: Lab) -> Iterator[Sample]:
     """One sample: `size` has routers, caches, zones, regions and requests_per_s of the whole fleet."""
-    rate = size["requests_per_s"] / size["routers"]
+    routers = int(size["routers"])
+    rate = size["requests_per_s"] / routers
     spans = parameters.warm_s + parameters.measured_s
     affordable = max(LEAST_RUN, int(parameters.most_requests / (rate * spans)))
     model = Model(
-        routers=size["routers"],
-        caches=size["caches"],
+        routers=routers,
+        caches=int(size["caches"]),
         requests_per_s=rate,
-        sampled=min(size["routers"], affordable),
-        zones=size.get("zones", 1),
-        regions=size.get("regions", 1),
+        sampled=min(routers, affordable),
+        zones=int(size.get("zones", 1)),
+        regions=int(size.get("regions", 1)),
         objects=parameters.objects,
         skew=parameters.skew,
         hit_share=parameters.hit_share,
