--- /dev/null
+++ b/scalelab/kinds/cold_start.py
@@ -0,0 +1,139 @@
+"""One page cache starts cold, and all routers together may send it only so much.
+
+The cache goes, its place is taken by others, and it comes back empty; each router is told at its own time.
+What then reaches it, in every window of the settings' length, is set against its budget. All routers of the
+fleet are run, and each cache's rate of requests is the same at all sizes.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+from typing import Annotated, Literal
+
+from pydantic import BaseModel, ConfigDict, Field
+
+from brackenwalk import interface as api
+from brackenwalk.policy import Router
+from scalelab.fleet import START, WRITE, Fleet, Model, site_settings
+from scalelab.lab import Lab, Sample
+
+SIZES = ("routers", "caches", "cores")
+METRICS = {
+    "requests_per_s": "first tries of clients in the whole fleet",
+    "budget_share": "most that the cold cache received in a window, over its budget N in that window",
+    "budget_slack_share": "the same over N + 2 x root of N + 2, the slack for chance",
+    "budget_first_count": "budget N of the window that begins with the cache's start",
+    "received": "attempts that the cold cache received until it was warm",
+    "received_again_share": "of these, second or later attempts of their request",
+    "fair_share": "attempts received by the cold cache from warm to the end, over the mean of all caches",
+    "served_share": "requests of clients served from the start until warm, retries included",
+    "attempts_per_request": "attempts at page caches for each request taken, from the start until warm",
+    "tries_per_wish": "requests that clients made for each thing they wanted, from the start until warm",
+    "origin_per_request": "attempts at the origin for each request taken, from the start until warm",
+}
+
+
+class Parameters(BaseModel):
+    """What all sizes of an experiment have in common. Times in seconds."""
+
+    model_config = ConfigDict(extra="forbid")
+
+    use_share: Annotated[float, Field(gt=0, le=2)] = 0.6  # of the caches' cores
+    skew: Annotated[float, Field(ge=0)] = 0.95
+    flat: Annotated[float, Field(ge=0)] = 10.0
+    watched: Literal["hottest", "any"] = "any"  # the cache that holds the most popular key, or the first
+    tries: Annotated[int, Field(ge=1, le=10)] = 3  # of a client
+    second_copies: bool = True
+    restarted_share: Annotated[float, Field(ge=0, le=1)] = 0.0  # of routers, as the cache starts
+    kept: Annotated[int, Field(ge=1)] = 200  # objects in a cache
+    objects_per_cache: Annotated[int, Field(ge=1)] = 400
+    origin_headroom: Annotated[float, Field(gt=0)] = 2.0  # over what it is asked for at a hit share of 0.9
+    warm_s: Annotated[float, Field(gt=0)] = 10.0
+    absent_s: Annotated[float, Field(gt=0)] = 6.0
+    notice_s: Annotated[float, Field(ge=0)] = 1.5
+    spread_s: Annotated[float, Field(ge=0)] = 0.6
+
+
+def fleet_of(parameters: Parameters, size: Mapping[str, float], seed: int) -> Fleet:
+    """The fleet at rest."""
+    routers, caches, cores = int(size["routers"]), int(size["caches"]), int(size["cores"])
+    plain = Model(routers, caches, 1.0)
+    rate = caches * cores * parameters.use_share / plain.mean_service
+    fetches = rate * (1 - plain.hit_share + plain.write_share)
+    model = Model(
+        routers=routers,
+        caches=caches,
+        requests_per_s=rate / routers,
+        objects=parameters.objects_per_cache * caches,
+        skew=parameters.skew,
+        flat=parameters.flat,
+        kept=parameters.kept,
+        cores=cores,
+        tries=parameters.tries,
+        zones=3,
+        origin_cores=max(1, round(parameters.origin_headroom * fetches * sum(plain.origin_service) / 2)),
+    )
+    return Fleet(site_settings(second_copies=parameters.second_copies), model, seed)
+
+
+def holder_of_hottest(fleet: Fleet) -> str:
+    """The cache that a router sends its first read of the most popular key to."""
+    router = Router(fleet.settings, 0, START)
+    router.handle(START, api.ServerList(api.ListKind.FULL, tuple(c.entry for c in fleet.caches.values())))
+    read = next(name for name in fleet.settings.classes if name != WRITE)
+    actions = router.handle(START, api.Request("r", read, 1.0, key="page:0"))
+    return next(a.server for a in actions if isinstance(a, api.Send))
+
+
+def measure(parameters: Parameters, size: Mapping[str, float], seed: int, lab: Lab) -> Iterator[Sample]:
+    """One sample: `size` has routers, caches and the cores of a cache."""
+    fleet = fleet_of(parameters, size, seed)
+    hottest = parameters.watched == "hottest"
+    name = holder_of_hottest(fleet) if hottest else next(iter(fleet.caches))
+    cache = fleet.caches[name]
+    if not fleet.run(parameters.warm_s, lab.expired):
+        return
+    lab.progress("the cache goes")
+    fleet.lose([name], silent=False)
+    fleet.tell_all([name], api.State.GONE, 0.5, parameters.spread_s)
+    if not fleet.run(parameters.absent_s, lab.expired):
+        return
+    lab.progress("the cache starts")
+    fleet.give_back([name])
+    cache.arrivals = []
+    fleet.reset()
+    fleet.tell_all([name], api.State.READY, parameters.notice_s, parameters.spread_s)
+    settings = fleet.settings
+    if parameters.restarted_share:
+        # with the list as it is now: a new process is told it before its first request
+        entries = [c.entry for c in [*fleet.caches.values(), fleet.origin]]
+        for instance in fleet.instances[: round(parameters.restarted_share * len(fleet.instances))]:
+            delay = parameters.notice_s + fleet.random.uniform(0, parameters.spread_s)
+            fleet.at(delay, fleet.restart, instance, entries)
+    if not fleet.run(settings.ramp, lab.expired):
+        return
+    counts, began = dict(fleet.counts), fleet.counted_from
+    received = list(cache.arrivals)
+    again = cache.received_again
+    for each in fleet.caches.values():
+        each.received = 0
+    if not fleet.run(settings.fall_window * 2, lab.expired):
+        return
+    strict, slack = fleet.overload(cache, began, settings.fall_window, settings.fall_multiple)
+    mean = sum(c.received for c in fleet.caches.values()) / len(fleet.caches)
+    taken = max(1, counts["requests"])
+    yield Sample(
+        {
+            "requests_per_s": fleet.model.requests_per_s * fleet.model.routers,
+            "budget_share": strict,
+            "budget_slack_share": slack,
+            "budget_first_count": settings.fall_multiple * fleet.capacity(cache, 0.0, settings.fall_window),
+            "received": len(received),
+            "received_again_share": again / max(1, len(received)),
+            "fair_share": cache.received / max(1e-9, mean),
+            "served_share": counts["served"] / max(1, counts["wishes"]),
+            "attempts_per_request": counts["attempts"] / taken,
+            "tries_per_wish": counts["requests"] / max(1, counts["wishes"]),
+            "origin_per_request": counts["origin"] / taken,
+        }
+    )
--- /dev/null
+++ b/scalelab/kinds/zone_loss.py
@@ -0,0 +1,188 @@
+"""A rack, a zone or a region of page caches is lost and comes back, or the routers of a region are cut off.
+
+What is lost stays silent: connections to it stay open, new ones never come up, and each router is told late.
+It comes back cold and empty. A region that is cut off keeps its routers and caches, which reach only each
+other. All routers of the fleet are run, and each cache's rate of requests is the same at all sizes.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping, Sequence
+from typing import Annotated, Literal
+
+from pydantic import BaseModel, ConfigDict, Field
+
+from brackenwalk import interface as api
+from scalelab.fleet import Fleet, Model, site_settings
+from scalelab.lab import Lab, Sample
+
+SIZES = ("routers", "caches", "cores")
+GOOD = 0.95  # of the requests of a second, served: then it counts as served again
+METRICS = {
+    "requests_per_s": "first tries of clients in the whole fleet",
+    "caches_lost": "page caches that are lost, or are out of reach of the routers that are cut off",
+    "before_served_share": "requests of clients served before the loss, retries included",
+    "lost_served_share": "of those made while it lasts",
+    "lost_worst_served_share": "of those made in the worst second while it lasts",
+    "lost_recovery_s": "from the loss until 95 % of each second's requests are served while it lasts",
+    "back_served_share": "of those made in the ramp that follows the return",
+    "back_worst_served_share": "of those made in the worst second of that",
+    "back_recovery_s": "from the return until 95 % of each second's requests are served",
+    "apart_served_share": "of those made at routers of the region that is cut off, while it lasts",
+    "apart_refused_per_request": "refusals by these routers for each request taken there while it lasts",
+    "lost_dials_per_request": "connections tried for each request taken, while it lasts",
+    "lost_dials_failed_per_request": "of these, those that failed",
+    "before_dials_per_request": "connections tried for each request taken, before the loss",
+    "back_dials_per_request": "connections tried for each request taken, after the return",
+    "before_attempts_per_request": "attempts at page caches for each request taken, before the loss",
+    "lost_attempts_per_request": "attempts at page caches for each request taken, while it lasts",
+    "back_attempts_per_request": "attempts at page caches for each request taken, after the return",
+    "lost_tries_per_wish": "requests of clients for each thing they wanted, while it lasts",
+    "lost_origin_ratio": "attempts at the origin a second while it lasts, over those before",
+    "back_origin_ratio": "attempts at the origin a second after the return, over those before",
+    "back_budget_slack_share": "most that any cold cache received in a window over its budget with slack",
+}
+
+
+class Parameters(BaseModel):
+    """What all sizes of an experiment have in common. Times in seconds."""
+
+    model_config = ConfigDict(extra="forbid")
+
+    lost: Literal["rack", "zone", "region", "cut"]
+    zones: Annotated[int, Field(ge=1)] = 50
+    regions: Annotated[int, Field(ge=1)] = 25
+    rack: Annotated[int, Field(ge=1)] = 1  # caches
+    use_share: Annotated[float, Field(gt=0, le=2)] = 0.6  # of the caches' cores
+    skew: Annotated[float, Field(ge=0)] = 0.95
+    kept: Annotated[int, Field(ge=1)] = 200  # objects in a cache
+    objects_per_cache: Annotated[int, Field(ge=1)] = 400
+    origin_headroom: Annotated[float, Field(gt=0)] = 2.0  # over what it is asked for at a hit share of 0.9
+    tries: Annotated[int, Field(ge=1, le=10)] = 3  # of a client
+    warm_s: Annotated[float, Field(gt=0)] = 8.0
+    before_s: Annotated[float, Field(gt=0)] = 4.0
+    lost_s: Annotated[float, Field(gt=0)] = 14.0
+    notice_s: Annotated[tuple[float, float], Field()] = (5.3, 1.0)  # of a silent loss, and its spread
+    back_notice_s: Annotated[tuple[float, float], Field()] = (1.5, 0.6)
+
+
+def fleet_of(parameters: Parameters, size: Mapping[str, float], seed: int) -> Fleet:
+    """The fleet at rest."""
+    routers, caches, cores = int(size["routers"]), int(size["caches"]), int(size["cores"])
+    plain = Model(routers, caches, 1.0)
+    rate = caches * cores * parameters.use_share / plain.mean_service
+    fetches = rate * (1 - plain.hit_share + plain.write_share)
+    model = Model(
+        routers=routers,
+        caches=caches,
+        requests_per_s=rate / routers,
+        zones=parameters.zones,
+        regions=parameters.regions,
+        objects=parameters.objects_per_cache * caches,
+        skew=parameters.skew,
+        kept=parameters.kept,
+        cores=cores,
+        tries=parameters.tries,
+        origin_cores=max(1, round(parameters.origin_headroom * fetches * sum(plain.origin_service) / 2)),
+    )
+    return Fleet(site_settings(), model, seed)
+
+
+def members(fleet: Fleet, parameters: Parameters) -> list[str]:
+    """The caches that are lost: all of one place that is not the origin's."""
+    zone = 1 % parameters.zones
+    region = zone % parameters.regions
+    if parameters.lost in ("region", "cut"):
+        return [name for name, c in fleet.caches.items() if c.region == region]
+    names = [name for name, c in fleet.caches.items() if c.zone == zone]
+    return names[: parameters.rack] if parameters.lost == "rack" else names
+
+
+def shares(fleet: Fleet, of: str = "served", among: str = "wishes") -> list[float]:
+    """The share served of what was asked for in each second since the last reset."""
+    asked = fleet.series[among]
+    got = fleet.series[of] + [0] * len(asked)
+    return [g / a if a else 1.0 for g, a in zip(got, asked, strict=False)]
+
+
+def recovery(seconds: Sequence[float]) -> float:
+    """Seconds until each later one has been good; the whole span where the last one was not."""
+    return float(max((i + 1 for i, share in enumerate(seconds) if share < GOOD), default=0))
+
+
+def per_request(fleet: Fleet, what: str) -> float:
+    return fleet.counts[what] / max(1, fleet.counts["requests"])
+
+
+def served(fleet: Fleet, of: str = "served", among: str = "wishes") -> float:
+    return fleet.counts[of] / max(1, fleet.counts[among])
+
+
+def measure(parameters: Parameters, size: Mapping[str, float], seed: int, lab: Lab) -> Iterator[Sample]:
+    """One sample: `size` has routers, caches and the cores of a cache."""
+    fleet = fleet_of(parameters, size, seed)
+    names = members(fleet, parameters)
+    cut = parameters.lost == "cut"
+    region = fleet.caches[names[0]].region
+    fleet.watched = {region}
+    if not fleet.run(parameters.warm_s, lab.expired):
+        return
+    fleet.reset()
+    if not fleet.run(parameters.before_s, lab.expired):
+        return
+    origin_before = fleet.counts["origin"] / parameters.before_s
+    metrics = {
+        "requests_per_s": fleet.model.requests_per_s * fleet.model.routers,
+        "caches_lost": float(len(fleet.caches) - len(names) if cut else len(names)),
+        "before_served_share": served(fleet),
+        "before_dials_per_request": per_request(fleet, "dials"),
+        "before_attempts_per_request": per_request(fleet, "attempts"),
+    }
+
+    lab.progress("lost")
+    fleet.reset()
+    if cut:
+        fleet.cut = {region}
+    else:
+        fleet.lose(names)
+        fleet.tell_all(names, api.State.GONE, *parameters.notice_s)
+    if not fleet.run(parameters.lost_s, lab.expired):
+        return
+    metrics |= {f"lost_{name}": value for name, value in aftermath(fleet, origin_before).items()}
+    metrics["lost_dials_failed_per_request"] = per_request(fleet, "dials_failed")
+    metrics["lost_tries_per_wish"] = fleet.counts["requests"] / max(1, fleet.counts["wishes"])
+    metrics["apart_served_share"] = served(fleet, "watched_served", "watched_wishes")
+    apart = max(1, fleet.counts["watched_requests"])
+    metrics["apart_refused_per_request"] = fleet.counts["watched_refused"] / apart
+
+    lab.progress("back")
+    fleet.reset()
+    if cut:
+        fleet.cut = set()
+    else:
+        fleet.give_back(names)
+        for name in names:
+            fleet.caches[name].arrivals = []
+        fleet.tell_all(names, api.State.READY, *parameters.back_notice_s)
+    settings = fleet.settings
+    if not fleet.run(settings.ramp + sum(parameters.back_notice_s), lab.expired):
+        return
+    metrics |= {f"back_{name}": value for name, value in aftermath(fleet, origin_before).items()}
+    metrics["back_budget_slack_share"] = max(
+        fleet.overload(fleet.caches[n], fleet.counted_from, settings.fall_window, settings.fall_multiple)[1]
+        for n in names
+    )
+    yield Sample(metrics)
+
+
+def aftermath(fleet: Fleet, origin_before: float) -> dict[str, float]:
+    """What has become of the requests since the last reset; the last second is not over for all of them."""
+    seconds = shares(fleet)[:-1]
+    return {
+        "served_share": served(fleet),
+        "worst_served_share": min(seconds, default=1.0),
+        "recovery_s": recovery(seconds),
+        "dials_per_request": per_request(fleet, "dials"),
+        "attempts_per_request": per_request(fleet, "attempts"),
+        "origin_ratio": fleet.counts["origin"] / (fleet.now - fleet.counted_from) / max(1e-9, origin_before),
+    }
