--- a/scalelab/fleet.py
+++ b/scalelab/fleet.py
@@ -19,7 +19,7 @@
 import random
 import time
 from collections import OrderedDict, deque
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from dataclasses import dataclass, field, replace
 from typing import Any
 
@@ -113,6 +113,19 @@
         return hits * sum(self.service) / 2 + (1 - hits) * self.miss_service
 
 
+def place_keys(
+    settings: api.Settings, entries: Iterable[api.ServerEntry], keys: Iterable[str]
+) -> Iterator[str]:
+    """The server that a router of this list, at rest, sends its first read of each key to."""
+    router = Router(settings, 0, START)
+    router.handle(START, api.ServerList(api.ListKind.FULL, tuple(entries)))
+    for number, key in enumerate(keys):
+        name = f"place-{number}"
+        sends = router.handle(START, api.Request(name, READ, 1.0, key=key))
+        yield next(action.server for action in sends if isinstance(action, api.Send))
+        router.handle(START, api.Outcome(name, 0, api.Status.OK, True, 0.05))
+
+
 class Table:
     """How many connections one end holds, over time."""
 
@@ -180,7 +193,8 @@
 
     instance: Instance
     cache: Cache
-    process: float
+    process: float  # its start as the router's list told it
+    start: float = math.inf  # and as it is; infinite until the connection counts at the cache
     kept_at: float = 0.0
     idle: bool = False
     watched: bool = False  # an event for its idle time is out
@@ -333,26 +347,17 @@
 
     def _fill(self) -> None:
         """Let each cache hold the most popular of the keys that a router would ask it for."""
-        router = Router(self.settings, 0, START)
-        router.handle(START, api.ServerList(api.ListKind.FULL, tuple(c.entry for c in self.caches.values())))
-        most = min(self.model.objects, 2 * self.model.kept * self.model.caches)
-        full = 0
-        for rank in range(most):
-            name = f"fill-{rank}"
-            actions = router.handle(START, api.Request(name, READ, 1.0, key=f"page:{rank}"))
-            for action in actions:
-                if isinstance(action, api.Send) and action.server in self.caches:
-                    contents = self.caches[action.server].contents
-                    if len(contents) < self.model.kept:
-                        contents[f"page:{rank}"] = None
-                        full += len(contents) == self.model.kept
-                    mean = sum(self.model.service) / 2
-                    router.handle(START, api.Outcome(name, 0, api.Status.OK, True, mean))
+        kept, full = self.model.kept, 0
+        keys = [f"page:{k}" for k in range(min(self.model.objects, 2 * kept * self.model.caches))]
+        entries = [c.entry for c in self.caches.values()]
+        for key, server in zip(keys, place_keys(self.settings, entries, keys), strict=False):
+            contents = self.caches[server].contents
+            if len(contents) < kept:
+                contents[key] = None
+                contents.move_to_end(key, last=False)  # the most popular as the ones used last
+                full += len(contents) == kept
             if full == len(self.caches):
                 break
-        for cache in self.caches.values():
-            for key in reversed(list(cache.contents)):  # the most popular as the ones used last
-                cache.contents.move_to_end(key)
 
     def reset(self) -> None:
         """Count from here on."""
@@ -675,11 +680,10 @@
         round_trip = 2 * self.one_way(instance, cache)
         if not self.reachable(instance, cache) and not cache.refuses:
             self.at(self.settings.dial_timeout, self._dial_failed, connection, attempt)
-            connection.process = -1.0  # counted at no cache
         elif cache.refuses or self.model.places and cache.table.now >= self.model.places:
             self.at(round_trip, self._dial_failed, connection, attempt)
-            connection.process = -1.0
         else:
+            connection.start = cache.since
             cache.table.add(1, self.now)
             self.at(round_trip * self.model.handshake_trips, self._dialled, connection, attempt)
 
@@ -741,7 +745,7 @@
         connection.open = False
         self._leave_idle(connection)
         connection.instance.table.add(-1, self.now)
-        if connection.process >= 0:
+        if connection.start < math.inf:
             connection.cache.table.add(-1, self.now)
 
     def _close_idle(self, instance: Instance, server: str) -> None:
@@ -759,7 +763,7 @@
         assert connection is not None
         if not self.reachable(connection.instance, cache):
             return  # silent: the attempt ends when its router gives it up
-        if connection.process < cache.since:  # of a process that is gone
+        if connection.start < cache.since:  # of a process that is gone
             self._drop(connection)
             self.at(self.one_way(connection.instance, cache), self._finish, attempt, api.Status.RESET)
             return
--- a/scalelab/kinds/cold_start.py
+++ b/scalelab/kinds/cold_start.py
@@ -13,8 +13,7 @@
 from pydantic import BaseModel, ConfigDict, Field
 
 from brackenwalk import interface as api
-from brackenwalk.policy import Router
-from scalelab.fleet import START, WRITE, Fleet, Model, site_settings
+from scalelab.fleet import Fleet, Model, place_keys, site_settings
 from scalelab.lab import Lab, Sample
 
 SIZES = ("routers", "caches", "cores")
@@ -76,20 +75,12 @@
     return Fleet(site_settings(second_copies=parameters.second_copies), model, seed)
 
 
-def holder_of_hottest(fleet: Fleet) -> str:
-    """The cache that a router sends its first read of the most popular key to."""
-    router = Router(fleet.settings, 0, START)
-    router.handle(START, api.ServerList(api.ListKind.FULL, tuple(c.entry for c in fleet.caches.values())))
-    read = next(name for name in fleet.settings.classes if name != WRITE)
-    actions = router.handle(START, api.Request("r", read, 1.0, key="page:0"))
-    return next(a.server for a in actions if isinstance(a, api.Send))
-
-
 def measure(parameters: Parameters, size: Mapping[str, float], seed: int, lab: Lab) -> Iterator[Sample]:
     """One sample: `size` has routers, caches and the cores of a cache."""
     fleet = fleet_of(parameters, size, seed)
     hottest = parameters.watched == "hottest"
-    name = holder_of_hottest(fleet) if hottest else next(iter(fleet.caches))
+    entries = [c.entry for c in fleet.caches.values()]
+    name = next(place_keys(fleet.settings, entries, ["page:0"])) if hottest else entries[0].server
     cache = fleet.caches[name]
     if not fleet.run(parameters.warm_s, lab.expired):
         return
