--- a/scalelab/fleet.py
+++ b/scalelab/fleet.py
@@ -89,6 +89,7 @@
     origin_cores: int = 0
     origin_service: tuple[float, float] = (0.03, 0.07)
     origin_queue: float = 1.0  # seconds of waiting that it accepts
+    origin_everywhere: bool = False  # within reach also where regions are cut off
     report_every: float = 0.25  # a load report is so old at most
     descriptors: int = 372  # of a router for caches: 3/8 of 1,024 but for a reserve of 32
     origin_descriptors: int = 124
@@ -279,8 +280,9 @@
         self.met: set[str] = set()
 
 
-SERIES = ("wishes", "served", "requests", "refused", "failed", "attempts", "dials", "dials_failed", "origin")
 WATCHED = ("wishes", "served", "requests", "refused", "failed")  # also counted for the regions in `watched`
+SERIES = (*WATCHED, *(f"watched_{name}" for name in WATCHED), "attempts", "dials", "dials_failed", "origin")
+SETTLED = 3  # seconds after which a client has its answer or has given up for good
 
 
 class Fleet:
@@ -297,6 +299,7 @@
         self.names = itertools.count()
         self.instances: list[Instance] = []
         self.watched: set[int] = set()  # regions whose routers are also counted apart
+        self.demand = 1.0  # of the model's rate of requests
         self.cut: set[int] = set()  # regions whose routers reach only their own caches
         self.idle_time = max(0.0, self.settings.connection_idle - IDLE_MARGIN)
         self.calls = 0
@@ -363,7 +366,6 @@
         """Count from here on."""
         self.counted_from = self.now
         self.counts = dict.fromkeys((*SERIES, "handshakes", "moot", "timeouts", "misses"), 0)
-        self.counts |= {f"watched_{name}": 0 for name in WATCHED}
         self.series: dict[str, list[int]] = {name: [] for name in SERIES}
         self.latencies: list[float] = []
         self.met_counts: list[int] = []
@@ -395,14 +397,16 @@
         at = self.now if at is None else at
         if at < self.counted_from:
             return
-        self.counts[what] += 1
+        names = [what]
         if instance is not None and instance.region in self.watched:
-            self.counts[f"watched_{what}"] += 1
-        series = self.series.get(what)
-        if series is not None:
-            second = int(at - self.counted_from)
-            series.extend([0] * (second + 1 - len(series)))
-            series[second] += 1
+            names.append(f"watched_{what}")
+        for name in names:
+            self.counts[name] += 1
+            series = self.series.get(name)
+            if series is not None:
+                second = int(at - self.counted_from)
+                series.extend([0] * (second + 1 - len(series)))
+                series[second] += 1
 
     def watch_meetings(self, every: float) -> None:
         """Count, for each span of so many seconds, the caches that each router sends to."""
@@ -495,7 +499,7 @@
     # Clients
 
     def _pause(self) -> float:
-        return self.random.expovariate(self.model.requests_per_s)
+        return self.random.expovariate(self.model.requests_per_s * self.demand)
 
     def _arrive(self, instance: Instance) -> None:
         if not instance.alive:
@@ -869,6 +873,17 @@
 
     # Figures
 
+    def served_by_second(self, of: str = "served", among: str = "wishes") -> list[float]:
+        """The share served of what clients wanted in each settled second since the last reset."""
+        asked = self.series[among][: max(0, int(self.now - self.counted_from) - SETTLED)]
+        got = self.series[of] + [0] * len(asked)
+        return [g / a if a else 1.0 for g, a in zip(got, asked, strict=False)]
+
+    def served_share(self, of: str = "served", among: str = "wishes") -> float:
+        """The same of all these seconds together."""
+        settled = max(0, int(self.now - self.counted_from) - SETTLED)
+        return sum(self.series[of][:settled]) / max(1, sum(self.series[among][:settled]))
+
     def overload(self, cache: Cache, began: float, window: float, multiple: float) -> tuple[float, float]:
         """The largest share of a cold cache's budget that it was sent, without and with slack for chance.
 
--- a/scalelab/kinds/cold_start.py
+++ b/scalelab/kinds/cold_start.py
@@ -104,6 +104,7 @@
     if not fleet.run(settings.ramp, lab.expired):
         return
     counts, began = dict(fleet.counts), fleet.counted_from
+    shares = fleet.served_share()
     received = list(cache.arrivals)
     again = cache.received_again
     for each in fleet.caches.values():
@@ -122,7 +123,7 @@
             "received": len(received),
             "received_again_share": again / max(1, len(received)),
             "fair_share": cache.received / max(1e-9, mean),
-            "served_share": counts["served"] / max(1, counts["wishes"]),
+            "served_share": shares,
             "attempts_per_request": counts["attempts"] / taken,
             "tries_per_wish": counts["requests"] / max(1, counts["wishes"]),
             "origin_per_request": counts["origin"] / taken,
--- a/scalelab/kinds/zone_loss.py
+++ b/scalelab/kinds/zone_loss.py
@@ -13,7 +13,7 @@
 from pydantic import BaseModel, ConfigDict, Field
 
 from brackenwalk import interface as api
-from scalelab.fleet import Fleet, Model, site_settings
+from scalelab.fleet import SETTLED, Fleet, Model, site_settings
 from scalelab.lab import Lab, Sample
 
 SIZES = ("routers", "caches", "cores")
@@ -57,11 +57,12 @@
     skew: Annotated[float, Field(ge=0)] = 0.95
     kept: Annotated[int, Field(ge=1)] = 200  # objects in a cache
     objects_per_cache: Annotated[int, Field(ge=1)] = 400
+    origin_everywhere: bool = False  # within reach of a region that is cut off
     origin_headroom: Annotated[float, Field(gt=0)] = 2.0  # over what it is asked for at a hit share of 0.9
     tries: Annotated[int, Field(ge=1, le=10)] = 3  # of a client
     warm_s: Annotated[float, Field(gt=0)] = 8.0
-    before_s: Annotated[float, Field(gt=0)] = 4.0
-    lost_s: Annotated[float, Field(gt=0)] = 14.0
+    before_s: Annotated[float, Field(gt=SETTLED)] = 6.0
+    lost_s: Annotated[float, Field(gt=SETTLED)] = 15.0
     notice_s: Annotated[tuple[float, float], Field()] = (5.3, 1.0)  # of a silent loss, and its spread
     back_notice_s: Annotated[tuple[float, float], Field()] = (1.5, 0.6)
 
@@ -83,6 +84,7 @@
         kept=parameters.kept,
         cores=cores,
         tries=parameters.tries,
+        origin_everywhere=parameters.origin_everywhere,
         origin_cores=max(1, round(parameters.origin_headroom * fetches * sum(plain.origin_service) / 2)),
     )
     return Fleet(site_settings(), model, seed)
@@ -98,13 +100,6 @@
     return names[: parameters.rack] if parameters.lost == "rack" else names
 
 
-def shares(fleet: Fleet, of: str = "served", among: str = "wishes") -> list[float]:
-    """The share served of what was asked for in each second since the last reset."""
-    asked = fleet.series[among]
-    got = fleet.series[of] + [0] * len(asked)
-    return [g / a if a else 1.0 for g, a in zip(got, asked, strict=False)]
-
-
 def recovery(seconds: Sequence[float]) -> float:
     """Seconds until each later one has been good; the whole span where the last one was not."""
     return float(max((i + 1 for i, share in enumerate(seconds) if share < GOOD), default=0))
@@ -114,10 +109,6 @@
     return fleet.counts[what] / max(1, fleet.counts["requests"])
 
 
-def served(fleet: Fleet, of: str = "served", among: str = "wishes") -> float:
-    return fleet.counts[of] / max(1, fleet.counts[among])
-
-
 def measure(parameters: Parameters, size: Mapping[str, float], seed: int, lab: Lab) -> Iterator[Sample]:
     """One sample: `size` has routers, caches and the cores of a cache."""
     fleet = fleet_of(parameters, size, seed)
@@ -134,7 +125,7 @@
     metrics = {
         "requests_per_s": fleet.model.requests_per_s * fleet.model.routers,
         "caches_lost": float(len(fleet.caches) - len(names) if cut else len(names)),
-        "before_served_share": served(fleet),
+        "before_served_share": fleet.served_share(),
         "before_dials_per_request": per_request(fleet, "dials"),
         "before_attempts_per_request": per_request(fleet, "attempts"),
     }
@@ -151,7 +142,7 @@
     metrics |= {f"lost_{name}": value for name, value in aftermath(fleet, origin_before).items()}
     metrics["lost_dials_failed_per_request"] = per_request(fleet, "dials_failed")
     metrics["lost_tries_per_wish"] = fleet.counts["requests"] / max(1, fleet.counts["wishes"])
-    metrics["apart_served_share"] = served(fleet, "watched_served", "watched_wishes")
+    metrics["apart_served_share"] = fleet.served_share("watched_served", "watched_wishes")
     apart = max(1, fleet.counts["watched_requests"])
     metrics["apart_refused_per_request"] = fleet.counts["watched_refused"] / apart
 
@@ -165,7 +156,7 @@
             fleet.caches[name].arrivals = []
         fleet.tell_all(names, api.State.READY, *parameters.back_notice_s)
     settings = fleet.settings
-    if not fleet.run(settings.ramp + sum(parameters.back_notice_s), lab.expired):
+    if not fleet.run(settings.ramp + sum(parameters.back_notice_s) + SETTLED, lab.expired):
         return
     metrics |= {f"back_{name}": value for name, value in aftermath(fleet, origin_before).items()}
     metrics["back_budget_slack_share"] = max(
@@ -176,10 +167,10 @@
 
 
 def aftermath(fleet: Fleet, origin_before: float) -> dict[str, float]:
-    """What has become of the requests since the last reset; the last second is not over for all of them."""
-    seconds = shares(fleet)[:-1]
+    """What has become of the requests since the last reset."""
+    seconds = fleet.served_by_second()
     return {
-        "served_share": served(fleet),
+        "served_share": fleet.served_share(),
         "worst_served_share": min(seconds, default=1.0),
         "recovery_s": recovery(seconds),
         "dials_per_request": per_request(fleet, "dials"),
