Scale experiments: fits with errors, and the page of capacity written from results

docs/CAPACITY.md tells for each role what it carries at the target, by which measured slope, and where it breaks on the way from today's fleet. No result is kept yet, so most lines stand as not measured.

--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,191 @@
+"""The fits, the size at which a line breaks, and the page against the results kept."""
+
+from __future__ import annotations
+
+import json
+import random
+import shutil
+from pathlib import Path
+
+import pytest
+
+from scalelab import fit, report
+from scalelab.results import load_result
+from scalelab.target import load_target
+
+
+def made_up(path: Path, slope: float, noise: float = 0.0, most: int = 800) -> Path:
+    """A result whose `cost_s` is 0.5 + slope x caches and some noise."""
+    drawn = random.Random(1)
+    samples = [
+        {
+            "size": {"routers": 1, "caches": caches},
+            "seed": repeat,
+            "repeat": repeat,
+            "metrics": {"cost_s": 0.5 + slope * caches + drawn.gauss(0, noise), "same_count": 7.0},
+            "histograms": {},
+        }
+        for caches in range(most // 8, most + 1, most // 8)
+        for repeat in range(25)
+    ]
+    path.write_text(
+        json.dumps(
+            {
+                "experiment": path.stem,
+                "kind": "list_change",
+                "seed": 1,
+                "started": "2026-01-01T00:00:00+00:00",
+                "complete": True,
+                "versions": {"python": "3.11", "project": "none", "packages": {}},
+                "parameters": {},
+                "metrics": {"cost_s": "seconds", "same_count": "always the same"},
+                "budgets": [],
+                "samples": samples,
+            }
+        )
+    )
+    return path
+
+
+def test_a_fit_finds_the_slope_its_error_and_the_form(tmp_path: Path) -> None:
+    result = load_result(made_up(tmp_path / "cost.json", 0.002, noise=0.05))
+    best = fit.best_fit("cost_s", fit.points_of(result, "cost_s"))
+    assert best.form is fit.Form.LINEAR
+    slope, error = best.slopes["caches"]
+    # of a line through n points: the noise over the root of the sum of squares about the mean size
+    expected = 0.05 / (25 * sum((100.0 * i - 450.0) ** 2 for i in range(1, 9))) ** 0.5
+    assert error == pytest.approx(expected, rel=0.15)
+    assert abs(slope - 0.002) < 3 * error
+    value, error = best.value({"caches": 1600.0})
+    assert abs(value - 3.7) < 3 * error
+    assert best.residual == pytest.approx(0.05, rel=0.15)
+    assert best.beyond({"caches": 1600.0}) == 2.0
+    assert fit.best_fit("same_count", fit.points_of(result, "same_count")).form is fit.Form.CONSTANT
+
+
+def test_a_fit_tells_a_power_and_a_product_from_a_line() -> None:
+    grid = [{"routers": r, "caches": c} for r in (10.0, 20.0, 40.0) for c in (5.0, 10.0, 20.0)]
+    power = fit.best_fit("x", [(s, 3 * s["routers"] ** 1.5 * s["caches"] ** -0.5) for s in grid])
+    assert power.form is fit.Form.POWER
+    assert [slope for slope, _ in power.slopes.values()] == pytest.approx([-0.5, 1.5])  # caches, routers
+    product = fit.best_fit("x", [(s, 2 + 0.1 * s["routers"] * s["caches"]) for s in grid])
+    assert product.form is fit.Form.PRODUCT
+    assert product.value({"routers": 100.0, "caches": 100.0})[0] == pytest.approx(1002)
+
+
+def test_bad_results_end_with_2_and_one_line_that_names_file_and_field(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path = made_up(tmp_path / "cost.json", 0.002)
+    table = json.loads(path.read_text())
+    table["samples"][3]["metrics"]["cost_s"] = "much"
+    path.write_text(json.dumps(table))
+    assert fit.main([path]) == 2
+    said = capsys.readouterr().err
+    assert said.count("\n") == 1
+    assert "cost.json" in said
+    assert "samples[3].metrics.cost_s" in said
+
+
+LINES = """
+roles = [{ name = "router", title = "Router" }]
+events = []
+failures = []
+figures = [{ name = "allowed", value = 20, kind = "assumed", unit = "count", source = "made up" }]
+
+[[lines]]
+role = "router"
+what = "cost"
+kind = "time"
+unit = "s"
+value = "cost"
+budget = 1.34
+mechanism = "missing"
+measured.cost = { result = "cost", metric = "cost_s" }
+
+[[lines]]
+role = "router"
+what = "peers"
+kind = "messages"
+unit = "count"
+value = "routers / caches"
+budget = "allowed"
+mechanism = "brackenwalk.policy:Router.handle"
+
+[[lines]]
+role = "router"
+what = "else"
+kind = "time"
+unit = "s"
+value = "cost"
+budget = 1
+mechanism = "missing"
+measured.cost = { result = "never", metric = "cost_s" }
+"""
+
+
+def capacity(tmp_path: Path) -> report.Capacity:
+    path = tmp_path / "capacity.toml"
+    path.write_text(LINES)
+    return report.read_capacity(path)
+
+
+def test_a_line_breaks_where_the_way_first_leaves_its_budget(tmp_path: Path) -> None:
+    made_up(tmp_path / "cost.json", 0.002, most=400)
+    book = report.Book(capacity(tmp_path), load_target(), tmp_path)
+    cost, peers, missing = book.capacity.lines
+    # 0.5 + 0.002 x caches is 1.34 at 420 caches, 220 of 640 on the way
+    assert book.break_at(cost) == pytest.approx(220 / 640)
+    assert report.size_text(book.way, book.break_at(cost)) == "2,572 / 420"
+    assert book.basis(cost) == "extrapolated 2.1 times"
+    assert book.break_at(peers) is None  # 7,100 / 840 is 8.5, and never more than 6,900 / 640
+    assert book.basis(peers) == "given"
+    assert book.ratio(peers, 1.0) == pytest.approx(7100 / 840 / 20)
+    with pytest.raises(report.NotMeasured):
+        book.break_at(missing)
+
+
+def copy_of_the_page(tmp_path: Path) -> Path:
+    for part in (report.LINES, report.PAGE, report.TARGET):
+        (tmp_path / part).parent.mkdir(parents=True, exist_ok=True)
+        shutil.copy(report.ROOT / part, tmp_path / part)
+    shutil.copytree(report.ROOT / report.RESULTS, tmp_path / report.RESULTS)
+    return tmp_path
+
+
+def test_the_page_is_what_the_kept_results_give(capsys: pytest.CaptureFixture[str]) -> None:
+    assert report.main(check=True) == 0, capsys.readouterr().err
+
+
+def test_a_page_that_differs_fails_and_is_written_anew(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    root = copy_of_the_page(tmp_path)
+    page = root / report.PAGE
+    kept = page.read_text()
+    lines = kept.splitlines()
+    at = next(i for i, line in enumerate(lines) if line.startswith("| 1 |"))
+    lines[at] += " altered"
+    page.write_text("\n".join(lines) + "\n")
+    assert report.main(check=True, root=root) == 1
+    assert f"docs/CAPACITY.md:{at + 1}:" in capsys.readouterr().err
+    assert report.main(check=False, root=root) == 0
+    assert page.read_text() == kept
+
+
+def test_a_bad_table_of_lines_ends_with_2_and_names_the_field(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    root = copy_of_the_page(tmp_path)
+    lines = root / report.LINES
+    good = lines.read_text()
+    for old, new, field in (
+        ('kind = "given"', 'kind = "guessed"', "figures[0].kind"),
+        ('target = "', 'aim = "', "figures[0].aim"),
+    ):
+        assert old in good
+        lines.write_text(good.replace(old, new, 1))
+        assert report.main(check=True, root=root) == 2
+        said = capsys.readouterr().err
+        assert said.count("\n") == 1
+        assert f"capacity.toml: {field}" in said
