Capacity: what was measured at one size only, everyday failures, and ratios at 1.5 times the target

A metric of a single size has no slope, and the page now says so in place of a size at which it breaks. Where a result was made before a mechanism and not yet after, the page uses it and links it. The results of racks, zones and regions stand as measured at their largest size. Figures that no line uses are faults of the table.

--- a/scalelab/fit.py
+++ b/scalelab/fit.py
@@ -53,7 +53,8 @@
     `coefficients` (k) and `covariance` (k x k) are of the constant term and then of `terms`; of logarithms
     where the form is POWER. `residual` is the root of the mean square that is left, by degree of freedom,
     and `left_out` of the mean square error at sizes left out of the fit, not a number where none could be;
-    both in the metric's unit. `largest` holds the largest of each column that was measured.
+    both in the metric's unit. `largest` holds the largest of each column that was measured, `fixed` those
+    that did not vary.
     """
 
     metric: str
@@ -68,6 +69,7 @@
     samples: int
     sizes: int
     largest: dict[str, float]
+    fixed: dict[str, float]
 
     @property
     def terms(self) -> tuple[str, ...]:
@@ -196,6 +198,7 @@
         samples=len(points),
         sizes=len(distinct),
         largest={c: max(float(size[c]) for size in sizes) for c in columns},
+        fixed={c: float(x) for c, x in sorted(sizes[0].items()) if all(size.get(c) == x for size in sizes)},
     )
 
 
@@ -242,6 +245,13 @@
     return fit_all(metric, points)[0]
 
 
+def largest_only(points: Sequence[tuple[Size, float]]) -> list[tuple[Size, float]]:
+    """The values at the largest size, by the product of its columns that vary."""
+    columns = varying(points)
+    sizes = [math.prod(float(size[c]) for c in columns) for size, _ in points]
+    return [point for point, size in zip(points, sizes, strict=True) if size == max(sizes)]
+
+
 def points_of(result: Result, metric: str) -> list[tuple[Size, float]]:
     """The samples of a result that hold a metric, as size and value."""
     return [(s.size, s.metrics[metric]) for s in result.samples if metric in s.metrics]
--- a/scalelab/report.py
+++ b/scalelab/report.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import importlib
+import json
 import math
 import sys
 from collections.abc import Callable, Mapping, Sequence
@@ -21,7 +22,18 @@
 
 from scalelab.experiment import InputError, fault, read_table
 from scalelab.expression import Expression, ExpressionError
-from scalelab.fit import BEYOND, Fit, FitError, Form, best_fit, describe_slopes, fit_form, number, points_of
+from scalelab.fit import (
+    BEYOND,
+    Fit,
+    FitError,
+    Form,
+    best_fit,
+    describe_slopes,
+    fit_form,
+    largest_only,
+    number,
+    points_of,
+)
 from scalelab.results import Result, load_result
 from scalelab.target import Target, load_target
 
@@ -32,6 +44,7 @@
 TARGET = Path("scalelab/experiments/target.toml")
 
 MISSING = "missing"
+BROKEN_THERE, HELD_THERE = "broken where measured", "not broken where measured"
 BEFORE = ".before"  # a result made before the mechanism was built
 MOST = 100.0  # ways from today to the target, after which a break is no longer looked for
 STEPS = 400  # at which a break is looked for on the way
@@ -87,6 +100,7 @@
     form: Form | None = None  # the best of all where it is absent
     over: list[str] | None = None  # the columns of `form`; all that vary where it is absent
     at: dict[str, Formula] = {}
+    largest_only: bool = False  # what was measured at the largest size, and no fit
 
     @model_validator(mode="after")
     def _both(self) -> Measured:
@@ -160,6 +174,15 @@
         *((f"failures[{i}].role", x.role, capacity.roles) for i, x in enumerate(capacity.failures)),
         *((f"failures[{i}].event", x.event, capacity.events) for i, x in enumerate(capacity.failures)),
     ]
+    formulas: list[Expression | None] = [f.value for f in capacity.figures]
+    formulas += [x for line in capacity.lines for x in (line.value, line.budget)]
+    formulas += [x for failure in capacity.failures for x in (failure.value, failure.recovery)]
+    carried: list[Carried] = [*capacity.lines, *capacity.failures]
+    formulas += [x for c in carried for m in c.measured.values() for x in m.at.values()]
+    unused = {f.name for f in capacity.figures}.difference(*(f.names for f in formulas if f is not None))
+    # a column of a size may be a figure of the same name
+    if unused := unused - {"changes_per_s", "requests_per_s"}:
+        raise InputError(f"{path}: figures: {min(unused)!r} is used by no line")
     for where, name, names in known:
         if name not in {n.name for n in names}:
             raise InputError(f"{path}: {where}: {name!r} is not known")
@@ -205,6 +228,10 @@
         routers, caches = (a + (b - a) * t for a, b in zip(self.today, self.target, strict=True))
         return {"t": t, "routers": routers, "caches": caches}
 
+    def beyond(self) -> dict[str, float]:
+        """So many times the target, in both; a little off the line."""
+        return {"t": BEYOND, "routers": BEYOND * self.target[0], "caches": BEYOND * self.target[1]}
+
 
 class NotMeasured(Exception):
     """A result that a line needs is not kept."""
@@ -221,26 +248,32 @@
         self.folder = results
         self.before = before
         self.results: dict[str, Result] = {}
-        self.fits: dict[tuple[str, str, Form | None, tuple[str, ...]], Fit] = {}
+        self.fits: dict[str, Fit] = {}
         self.figures = {f.name: f for f in capacity.figures}
 
+    def file(self, name: str) -> Path:
+        """The file of a result: the older where it is asked for or is the only one; raises NotMeasured."""
+        kept = [f for f in (f"{name}.json", f"{name}{BEFORE}.json") if (self.folder / f).exists()]
+        if not kept:
+            raise NotMeasured(name)
+        return self.folder / kept[-1 if self.before else 0]
+
     def result(self, name: str) -> Result:
         """A kept result; raises NotMeasured."""
-        old = self.folder / f"{name}{BEFORE}.json"
-        path = old if self.before and old.exists() else self.folder / f"{name}.json"
-        if not path.exists():
-            raise NotMeasured(name)
+        path = self.file(name)
         if path.name not in self.results:
             self.results[path.name] = load_result(path)
         return self.results[path.name]
 
     def fit(self, measured: Measured) -> Fit:
         """The fit of a metric; raises NotMeasured where no sample holds it."""
-        key = (measured.result, measured.metric, measured.form, tuple(measured.over or ()))
+        key = measured.model_dump_json(exclude={"at"})
         if key not in self.fits:
             points = points_of(self.result(measured.result), measured.metric)
             if not points:
                 raise NotMeasured(f"{measured.metric} of {measured.result}")
+            if measured.largest_only:
+                points = largest_only(points)
             self.fits[key] = (
                 best_fit(measured.metric, points)
                 if measured.form is None
@@ -272,10 +305,13 @@
         }
 
     def estimate(
-        self, line: Carried, t: float, formulas: Sequence[Expression], told: Callable[[list[float]], float]
+        self,
+        line: Carried,
+        size: Mapping[str, float],
+        formulas: Sequence[Expression],
+        told: Callable[[list[float]], float],
     ) -> tuple[float, float]:
         """What is told of formulas of a line's terms, and the standard error that their fits leave in it."""
-        size = self.way.size(t)
         names = set().union(*(f.names for f in formulas))
         used = {n: m for n, m in line.measured.items() if n in names}
         terms = {n: self.fit(m).value(self.size_of(m, size)) for n, m in used.items()}
@@ -292,24 +328,30 @@
         value = at()
         return value, math.sqrt(sum((at(n) - value) ** 2 for n in terms))
 
-    def value(self, line: Carried, t: float, formula: Expression | None = None) -> tuple[float, float]:
-        """What a line takes at a point of the way, and its standard error."""
-        return self.estimate(line, t, [formula or line.value], sum)
+    def value(
+        self, line: Carried, size: Mapping[str, float], formula: Expression | None = None
+    ) -> tuple[float, float]:
+        """What a line takes at a size, and its standard error."""
+        return self.estimate(line, size, [formula or line.value], sum)
 
-    def budget(self, line: Line, t: float) -> float | None:
-        """What a line may take at a point of the way."""
-        return None if line.budget is None else self.estimate(line, t, [line.budget], sum)[0]
+    def budget(self, line: Line, size: Mapping[str, float]) -> float | None:
+        """What a line may take at a size."""
+        return None if line.budget is None else self.estimate(line, size, [line.budget], sum)[0]
 
-    def ratio(self, line: Line, t: float, errors: float = 0.0) -> float:
+    def ratio(self, line: Line, size: Mapping[str, float], errors: float = 0.0) -> float:
         """What a line takes over what it may take, and so many standard errors more."""
         if line.budget is None:
             return 0.0
-        ratio, error = self.estimate(line, t, [line.value, line.budget], lambda both: both[0] / both[1])
+        ratio, error = self.estimate(line, size, [line.value, line.budget], lambda both: both[0] / both[1])
         return ratio + errors * error
 
     def break_at(self, line: Line, errors: float = 0.0) -> float | None:
         """The first point of the way, from today's fleet on, at which a line takes more than it may."""
-        return first_above(lambda t: self.ratio(line, t, errors) - 1.0)
+        return first_above(lambda t: self.ratio(line, self.way.size(t), errors) - 1.0)
+
+    def one_size(self, line: Carried) -> bool:
+        """Whether any term of a line was measured at one size only, so that none of its slopes is known."""
+        return any(self.fit(m).sizes == 1 for m in line.measured.values())
 
     def measured_names(self, formula: Expression) -> set[str]:
         """All names that a formula rests on, through figures."""
@@ -328,10 +370,12 @@
         size = self.way.size(1.0)
         parts = []
         used = {n: m for n, m in line.measured.items() if n in formula.names}
-        beyond = [self.fit(m).beyond(self.size_of(m, size)) for m in used.values()]
-        if beyond:
-            far = max(beyond)
+        fits = {n: self.fit(m) for n, m in used.items()}
+        far = max((fits[n].beyond(self.size_of(m, size)) for n, m in used.items()), default=1.0)
+        if any(f.sizes > 1 for f in fits.values()):
             parts.append("measured" if far <= 1.0 else f"extrapolated {number(far, 2)} times")
+        for fixed in {json.dumps(f.fixed): f.fixed for f in fits.values() if f.sizes == 1}.values():
+            parts.append("measured only at " + ", ".join(f"{c} {number(x, 5)}" for c, x in fixed.items()))
         names = self.measured_names(formula)
         for measured in used.values():
             for column in self.fit(measured).columns:
@@ -350,13 +394,11 @@
         parts = []
         for measured in line.measured.values():
             result = self.result(measured.result)
-            name = measured.result
-            if self.before and (self.folder / f"{name}{BEFORE}.json").exists():
-                name += BEFORE
+            file = self.file(measured.result).name
             whole = "" if result.complete else ", not complete"
             parts.append(
                 f"`{measured.metric}`: {describe_slopes(self.fit(measured))}"
-                f" ([{name}](../{RESULTS}/{name}.json){whole})"
+                f" ([{file.removesuffix('.json')}](../{RESULTS}/{file}){whole})"
             )
         return "; ".join([*parts, f"`{line.value.text}`"])
 
@@ -461,17 +503,18 @@
     def role(self, role: str) -> list[str]:
         """All that a role carries."""
         rows = []
+        target = self.way.size(1.0)
         for line in (x for x in self.capacity.lines if x.role == role):
             what = f"{line.kind}: {line.what}" + (f" ({line.note})" if line.note else "")
             mechanism = mechanism_text(line.mechanism)
             allowed = "none given" if line.budget is None else "not measured"
             try:
-                if (budget := self.book.budget(line, 1.0)) is not None:
+                if (budget := self.book.budget(line, target)) is not None:
                     allowed = quantity(budget, line.unit)
-                value, error = self.book.value(line, 1.0)
+                value, error = self.book.value(line, target)
                 ratio = break_text = "-"
                 if budget is not None:
-                    ratio = number(self.book.ratio(line, 1.0))
+                    ratio = number(self.book.ratio(line, target))
                     break_text = self.break_text(line)
                 rows.append(
                     [
@@ -499,8 +542,10 @@
         """Where a line breaks, and where it would a standard error to either side."""
         at = self.book.break_at(line)
         text = size_text(self.way, at)
+        if self.book.one_size(line):
+            return BROKEN_THERE if at == 0 else HELD_THERE
         if at == 0:
-            return f"{text} ({number(self.book.ratio(line, 0.0))} times the budget)"
+            return f"{text} ({number(self.book.ratio(line, self.way.size(0.0)))} times the budget)"
         early, late = self.book.break_at(line, 1.0), self.book.break_at(line, -1.0)
         if at is None or early == late:
             return text
@@ -513,20 +558,14 @@
             if line.budget is None or line.contradiction != contradiction:
                 continue
             try:
-                points = [book.ratio(line, t) for t in (0.0, 1.0)]
-                beyond = self.ratio_beyond(book, line)
-                ranks.append(Rank(line, book.break_at(line), points[0], points[1], beyond))
+                sizes = (self.way.size(0.0), self.way.size(1.0), self.way.beyond())
+                ranks.append(Rank(line, book.break_at(line), *(book.ratio(line, size) for size in sizes)))
             except NotMeasured:
                 continue
         return sorted(
             ranks, key=lambda r: (math.inf if r.at is None else r.at, -r.today if r.at == 0 else -r.target)
         )
 
-    def ratio_beyond(self, book: Book, line: Line) -> float:
-        """The ratio at 1.5 times the target's routers, on the same line."""
-        today, target = self.way.today[0], self.way.target[0]
-        return book.ratio(line, (BEYOND * target - today) / (target - today))
-
     def ranking(self, book: Book, contradiction: bool = False) -> list[str]:
         """Where lines break, the smallest size first."""
         titles = {r.name: r.title for r in self.capacity.roles}
@@ -535,7 +574,9 @@
                 str(i + 1),
                 titles[r.line.role],
                 f"{r.line.kind}: {r.line.what}",
-                size_text(self.way, r.at),
+                (BROKEN_THERE if r.at == 0 else HELD_THERE)
+                if book.one_size(r.line)
+                else size_text(self.way, r.at),
                 number(r.today),
                 number(r.target),
                 number(r.beyond),
@@ -570,20 +611,18 @@
         )
 
     def _told(self, failure: Failure, formula: Expression, unit: Unit) -> tuple[float, Unit, float]:
-        value, error = self.book.value(failure, 1.0, formula)
+        value, error = self.book.value(failure, self.way.size(1.0), formula)
         return value, unit, error
 
     def comparison(self, comparison: Comparison) -> list[str]:
         """Means at the sizes that both results hold."""
         header = ["what", "size", "before", "after", "after / before"]
-        old = self.older.folder / f"{comparison.result}{BEFORE}.json"
         try:
-            after = self.book.result(comparison.result)
+            before, after = (book.result(comparison.result) for book in (self.older, self.book))
         except NotMeasured:
             return table(header, [["not measured", "", "", "", ""]])
-        if not old.exists():
+        if before == after:
             return table(header, [["not measured", "", "", "", ""]])
-        before = self.older.result(comparison.result)
         rows = []
         for metric, unit in zip(comparison.metrics, comparison.units, strict=True):
             first, second = _means(before, metric), _means(after, metric)
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -140,7 +140,7 @@
     assert book.basis(cost) == "extrapolated 2.1 times"
     assert book.break_at(peers) is None  # 7,100 / 840 is 8.5, and never more than 6,900 / 640
     assert book.basis(peers) == "given"
-    assert book.ratio(peers, 1.0) == pytest.approx(7100 / 840 / 20)
+    assert book.ratio(peers, book.way.size(1.0)) == pytest.approx(7100 / 840 / 20)
     with pytest.raises(report.NotMeasured):
         book.break_at(missing)
 
