Capacity: before and after at chosen sizes, by the run's own reference of processor time

Seconds of two runs compare only where the machine was equally busy; the last column divides by the fixed piece of work that each run timed. The fitted form stands below the sizes.

--- a/scalelab/report.py
+++ b/scalelab/report.py
@@ -33,6 +33,7 @@
     largest_only,
     number,
     points_of,
+    varying,
 )
 from scalelab.results import Result, load_result
 from scalelab.target import Target, load_target
@@ -137,11 +138,23 @@
 
 
 class Comparison(Table):
-    """Metrics of a result made before a mechanism was built, beside the same ones after."""
+    """Metrics of a result made before a mechanism was built, beside the same ones after.
+
+    `reference` is a metric of a fixed piece of work, by which seconds of differently busy machines compare.
+    `at` names the sizes that are shown, by a column each; all where it is empty.
+    """
 
     result: str
     metrics: list[str] = Field(min_length=1)
     units: list[Unit] = Field(min_length=1)
+    reference: str | None = None
+    at: dict[str, list[float]] = {}
+
+    @model_validator(mode="after")
+    def _pairs(self) -> Comparison:
+        if len(self.metrics) != len(self.units):
+            raise ValueError("wants a unit for each metric")
+        return self
 
 
 class Named(Table):
@@ -616,22 +629,33 @@
 
     def comparison(self, comparison: Comparison) -> list[str]:
         """Means at the sizes that both results hold."""
-        header = ["what", "size", "before", "after", "after / before"]
+        header = ["what", "size", "before", "after", "after / before", "the same by the reference"]
+        unknown = table(header, [["not measured", *[""] * (len(header) - 1)]])
         try:
             before, after = (book.result(comparison.result) for book in (self.older, self.book))
         except NotMeasured:
-            return table(header, [["not measured", "", "", "", ""]])
+            return unknown
         if before == after:
-            return table(header, [["not measured", "", "", "", ""]])
+            return unknown
+        work = [_means(r, comparison.reference) if comparison.reference else {} for r in (before, after)]
         rows = []
         for metric, unit in zip(comparison.metrics, comparison.units, strict=True):
+            points = [points_of(result, metric) for result in (before, after)]
+            columns = varying(points[0])
             first, second = _means(before, metric), _means(after, metric)
             for size in sorted(first.keys() & second.keys()):
+                if any(x not in comparison.at.get(name, [x]) for name, x in size):
+                    continue
                 a, b = first[size], second[size]
-                text = ", ".join(f"{name} {number(x, 5)}" for name, x in size)
-                change = number(b / a) if a else "-"
-                rows.append([f"`{metric}`", text, quantity(a, unit), quantity(b, unit), change])
-        return table(header, rows or [["not measured", "", "", "", ""]])
+                text = ", ".join(f"{name} {number(x, 5)}" for name, x in size if name in columns)
+                row = [f"`{metric}`", text, quantity(a, unit), quantity(b, unit), number(b / a) if a else "-"]
+                timed = unit in ("s", "cores") and metric != comparison.reference and a
+                fair = timed and all(size in w for w in work)
+                rows.append([*row, number(b / a * work[0][size] / work[1][size]) if fair else "-"])
+            if all(points):
+                fits = [describe_slopes(best_fit(metric, p)) for p in points]
+                rows.append([f"`{metric}`", "all sizes, fitted", *fits, "-", "-"])
+        return table(header, rows) if rows else unknown
 
     def figures(self) -> list[str]:
         """What was given and what is assumed."""
