Give each router a part of a cold server's budget, counted over all sends

Cause: only points were thinned in a server's ramp. A key whose point lies in the thinned part went there whole from every router until the router had met it often enough, and retries, second copies to the last server (`_copy`) and requests released by the first list were never asked about.

Routers grant a cold server a part of the answers that they get from warm ones: fall multiple x present share x answers for each unit of size in a window, and their part of 2 x root of N + 2. As no warm server answers more than it bears, the sum over the fleet is the budget, without talk and however unevenly requests fall. A part below one call is drawn by chance, once for each server and router. All sends count; what is over goes on clockwise. A router that has just started has seen no answers and so grants hardly anything. With nothing warm listed there is no budget, as nobody knows what is borne.

--- a/brackenwalk/policy.py
+++ b/brackenwalk/policy.py
@@ -16,6 +16,7 @@
 from itertools import islice
 
 from brackenwalk import interface as api
+from brackenwalk import ramp
 from brackenwalk.ring import Ring, ring_hash
 
 POINTS = 128  # virtual nodes of a server as large as the unit of weight: shares within a tenth or so
@@ -70,6 +71,7 @@
     pause: float = 0.0
     out_until: float = -math.inf
     rest_until: float = -math.inf  # by then what waits there now is done
+    budget: ramp.Budget | None = None  # while it is cold
 
 
 @dataclass(slots=True, eq=False)
@@ -111,6 +113,7 @@
         self.servers: dict[str, Server] = {}
         self.ring: Ring[Server] = Ring()
         self.failing: set[Server] = set()  # so often in a row that they are out, or on trial
+        self.bearing = ramp.Bearing(now, settings.fall_window)
         self.seen: dict[str, int] = {}  # requests of each key, in a memory that halves every ramp
         self.seen_total = 0.0
         self.sizes: dict[str, float] = {}  # the largest weight seen of a kind
@@ -127,6 +130,7 @@
         self.taken = 0  # requests, since birth
         self.keep = KEEP
         self.largest = 0.0  # weight of a server
+        self.warm_size, self.warm_until = 0.0, -math.inf
         self._build_ring(())
         self.wait = 0.0  # smoothed latency for each request held a unit of size, the one in hand included
         self.usual = 0.0  # smoothed service time of servers at which nothing waits
@@ -241,6 +245,7 @@
             s.size = (s.size if self.settings.live_weights else s.entry.weight) or largest
             on_ring = s.cache and s.entry.ready
             self.ring.place(s.entry.server, s, math.ceil(POINTS * s.size / unit) if on_ring else 0)
+        self.warm_until = -math.inf
         self.failing = {s for s in caches if s.failures >= FAILURES}
         self.total_size = sum(s.size for s in caches)
         live = self.settings.live_weights
@@ -298,7 +303,7 @@
             return False
         if server.load >= server.limit or server.load and self._silent(server):
             return False
-        if any(a.server is server for a in held.attempts):
+        if any(a.server is server for a in held.attempts) or self._spent(server):
             return False
         return self._permits(held, server)
 
@@ -342,11 +347,33 @@
 
     def _warm_share(self, server: Server) -> float:
         """Share of its points that count: the stated warm-up, cut by our own share of good answers."""
-        age = self.now - server.entry.since
-        if server.entry.since <= 0 or age >= self.settings.ramp:
+        if not self._is_cold(server):
             return 1.0
         # guards against client retries, which multiply what is sent just when servers bear the least
-        return self.good * (1 - (1 - self.settings.cold_share) * (1 - max(0.0, age) / self.settings.ramp))
+        return self.good * ramp.present_share(self.settings, server.entry, self.now)
+
+    def _is_cold(self, server: Server) -> bool:
+        return ramp.is_cold(self.settings, server.entry, self.now)
+
+    def _warm_size(self) -> float:
+        """Sum of the sizes of caches that are not in their ramp; counted when a ramp begins or ends."""
+        if self.now >= self.warm_until:
+            begun = max(0.0, self.now - self.settings.ramp)
+            cold = [s for s in self.caches if s.entry.since > begun]
+            self.warm_size = self.total_size - sum(s.size for s in cold)
+            self.warm_until = min((s.entry.since for s in cold), default=math.inf) + self.settings.ramp
+        return self.warm_size
+
+    def _spent(self, server: Server) -> bool:
+        """Whether a cold server has had our part of its budget. Guards against what no router sees alone.
+
+        Where nothing is warm nobody knows what is borne, and refusing all would serve nobody.
+        """
+        if not self._is_cold(server) or self._warm_size() <= 0:
+            return False
+        server.budget = server.budget or ramp.Budget(self.random.random())
+        bears = server.size * self.bearing.rate(self.now, self.settings.fall_window)
+        return server.budget.spent(self.settings, server.entry, bears, self.now)
 
     def _on_request(self, request: api.Request) -> None:
         unknown = api.RequestClass(request.request_class, 0.0, api.Effect.UNSAFE)
@@ -394,6 +421,8 @@
         self.attempts[name, len(held.attempts)] = attempt
         held.attempts.append(attempt)
         server.load += 1
+        if server.budget is not None:
+            server.budget.note(self.now, self.settings.fall_window)
         server.quiet_since = min(server.quiet_since, self.now)
         self.out.append(api.Send(name, server.entry.server))
         pause = max(COPY * max(server.latency, self.wait), self.settings.tick)
@@ -412,7 +441,7 @@
         server: Server | None = last.server
         listed = self.servers.get(last.server.entry.server) is server and last.server.entry.ready
         alive = listed and last.server.quiet_since > last.sent_at and self.now >= last.server.out_until
-        if not alive or last.server.load >= last.server.limit:
+        if not alive or last.server.load >= last.server.limit or self._spent(last.server):
             server = self._choose(held)
         if server is not None and self._permits(held, server):
             self.retries -= 1
@@ -488,7 +517,10 @@
         self.keep = self.keep / 2 if lost else self.keep + KEEP_GAIN * (KEEP - self.keep)
         self._close_idle(attempt.server)
         if attempt.server.cache:
-            self.good += SMOOTHING * ((event.status in (api.Status.OK, api.Status.MISS)) - self.good)
+            good = event.status in (api.Status.OK, api.Status.MISS)
+            self.good += SMOOTHING * (good - self.good)
+            if good and not self._is_cold(attempt.server) and (warm := self._warm_size()) > 0:
+                self.bearing.note(self.now, warm)
             self.wait += SMOOTHING * (event.latency / (1 + attempt.server.reported) - self.wait)
         self._learn_limit(attempt, event)
         held = self.held.get(event.request)
--- /dev/null
+++ b/tests/test_ramp.py
@@ -0,0 +1,158 @@
+"""Cold servers under what all routers of a fleet send them together: thirty in step on one clock."""
+
+from __future__ import annotations
+
+import heapq
+import math
+import random
+from bisect import bisect_left
+from itertools import count
+from typing import Any
+
+import pytest
+
+from brackenwalk import interface as api
+from brackenwalk import policy, ramp
+from brackenwalk.policy import Router
+from tests.driver import Driver, entry, settings
+
+ROUTERS, CACHES, START = 30, 10, 5.0
+LATENCY = 0.02
+STEADY = api.Status.OK, LATENCY
+
+
+class Fleet:
+    """Routers that share nothing but the list, caches that serve at once, and what reaches the cold one."""
+
+    def __init__(self, seed: int, capacity: float, hot: float = 0.0, held: int = 0) -> None:
+        self.conf = settings(siblings=ROUTERS)
+        self.capacity, self.random, self.hot = capacity, random.Random(seed), hot
+        self.held, self.rate = held, capacity * CACHES
+        self.order = count()
+        self.events: list[tuple[float, int, int, api.Event]] = []
+        self.ended: set[str] = set()
+        self.attempts: dict[str, int] = {}
+        self.at_cold: list[float] = []
+        self.key = next(k for k in map(str, count()) if self.first_choice(k) == "cold")
+        self.routers: dict[int, Router] = {}
+
+    def entries(self) -> tuple[api.ServerEntry, ...]:
+        return *(entry(f"s{i}") for i in range(CACHES)), entry("cold", since=START)
+
+    def first_choice(self, key: str) -> str:
+        router = Router(settings(), 1, START)
+        router.handle(START, api.ServerList(api.ListKind.FULL, self.entries()))
+        (send, *_) = router.handle(START, api.Request("r", "read", 1.0, key))
+        return send.server if isinstance(send, api.Send) else ""
+
+    def start(self, number: int, now: float) -> None:
+        self.routers[number] = Router(self.conf, self.random.getrandbits(30), now)
+        for n in range(self.held):
+            self.feed(now, number, api.Request(f"held{number}-{n}", "read", 1.0, self.key))
+        known = self.entries() if now >= START else self.entries()[:-1]
+        self.feed(now, number, api.ServerList(api.ListKind.FULL, known))
+
+    def answer(self) -> tuple[api.Status, float]:
+        return STEADY
+
+    def feed(self, now: float, number: int, event: api.Event) -> None:
+        for action in self.routers[number].handle(now, event):
+            if isinstance(action, api.Send):
+                attempt = self.attempts[action.request] = self.attempts.get(action.request, -1) + 1
+                if action.server == "cold":
+                    self.at_cold.append(now)
+                status, latency = self.answer()
+                over = status is api.Status.OK
+                outcome = api.Outcome(action.request, attempt, status, over, latency)
+                self.later(now + latency, number, outcome)
+            elif isinstance(action, api.SetTimer):
+                self.later(now + action.delay, number, api.TimerFired(action.token))
+            elif isinstance(action, api.Refuse | api.Fail):
+                self.ended.add(action.request)
+
+    def later(self, at: float, number: int, event: api.Event) -> None:
+        heapq.heappush(self.events, (at, next(self.order), number, event))
+
+    def run(self, restarts: dict[float, range]) -> float:
+        """Play until the server is warm; answers with the worst excess over what a window allows."""
+        changes = sorted([*restarts, START])
+        busy = [self.random.choice((1, 1, 1, 4)) for _ in range(ROUTERS)]
+        now = 0.0
+        for n in count():
+            now += self.random.expovariate(self.rate)
+            if now > START + self.conf.ramp:
+                return self.excess()
+            while changes and changes[0] <= now:
+                at = changes.pop(0)
+                for number in range(ROUTERS) if at == START else ():
+                    if number in self.routers:
+                        self.feed(at, number, api.ServerList(api.ListKind.FULL, self.entries()))
+                for number in restarts.get(at, ()):
+                    self.start(number, at)
+            while self.events and self.events[0][0] <= now:
+                at, _, number, event = heapq.heappop(self.events)
+                self.feed(at, number, event)
+            number = self.random.choices(range(ROUTERS), busy)[0]
+            if number in self.routers:
+                key = self.key if self.random.random() < self.hot else f"k{self.random.randrange(20_000)}"
+                self.feed(now, number, api.Request(f"r{n}", "read", 1.0, key))
+        raise AssertionError
+
+    def excess(self) -> float:
+        worst, conf = -math.inf, self.conf
+        for i, at in enumerate(self.at_cold):
+            share = conf.cold_share + (1 - conf.cold_share) * (at - START) / conf.ramp
+            most = conf.fall_multiple * share * self.capacity * conf.fall_window
+            sent = bisect_left(self.at_cold, at + conf.fall_window) - i
+            worst = max(worst, sent - most - 2 * math.sqrt(most) - 2)
+        return worst
+
+
+class Failing(Fleet):
+    def answer(self) -> tuple[api.Status, float]:
+        draw = self.random.random()
+        if draw < 0.2:
+            return api.Status.RESET, 0.005
+        return (api.Status.TIMEOUT, 1.0) if draw < 0.3 else STEADY
+
+
+ALL = range(ROUTERS)
+CASES: dict[str, tuple[type[Fleet], dict[str, Any], dict[float, range]]] = {
+    "any key": (Fleet, {}, {0.0: ALL}),
+    "hot key": (Fleet, {"hot": 0.3}, {0.0: ALL}),
+    "hot key, errors and answers lost": (Failing, {"hot": 0.3}, {0.0: ALL}),
+    "hot key, all just started": (Fleet, {"hot": 0.3}, {START: ALL}),
+    "hot key, all just started with some waiting": (Fleet, {"hot": 0.3, "held": 3}, {START: ALL}),
+    "hot key, restarts": (Fleet, {"hot": 0.3}, {0.0: ALL, START + 1: ALL[:15], START + 3: ALL[10:]}),
+}
+
+
+@pytest.mark.parametrize("case", CASES)
+@pytest.mark.parametrize("capacity", [20.0, 100.0])
+def test_all_routers_together_keep_within_what_a_cold_server_bears(case: str, capacity: float) -> None:
+    """A share of points holds for many keys alike; all sent one hot key to the server just started."""
+    make, options, restarts = CASES[case]
+    for seed in range(3):
+        fleet = make(seed, capacity, **options)
+        assert fleet.run(restarts) <= 0
+        assert len(fleet.at_cold) > capacity  # of some five times as much that it could serve meanwhile
+
+
+def test_a_cold_server_is_sent_to_where_no_other_is() -> None:
+    """With nothing warm no router knows what is borne, and a budget of nothing would refuse everybody."""
+    d = Driver(settings(siblings=ROUTERS))
+    d.list(entry("a", since=d.now), entry("b", since=d.now))
+    assert None not in [d.request(f"r{n}", key=f"k{n}", finish=True) for n in range(20)]
+
+
+@pytest.mark.parametrize(("siblings", "copy"), [(1, "b"), (ROUTERS, "a")])
+def test_a_second_copy_at_a_cold_server_comes_out_of_its_budget(siblings: int, copy: str) -> None:
+    """One that still answered others was asked again whatever it had been sent."""
+    d = Driver(settings(siblings=siblings))
+    d.list(entry("a"), entry("b", since=d.now))
+    cold = d.router.servers["b"]
+    cold.latency, cold.budget = 0.01, ramp.Budget(0.01)
+    name = next(n for n in map(str, count()) if d.request(n) == "b")
+    cold.quiet_since = d.now + 0.001  # it has answered others since
+    d.wait(policy.COPY * 0.01)
+    assert d.sends[name] == ["b", copy]
