Plan with no more descriptors than the process may open

Found by a test with a process of its own, limited to 64 descriptors, in which attempts that hang fill the budgets of servers and origin, idle clients and silent ones theirs, and discovery refuses or is silent and comes back.

Blame: `room` in __main__.serve. It now follows from the lesser of both limits, with a warning; a process that may open under 64 ends with a line that names limits.sockets.

--- a/brackenwalk/__main__.py
+++ b/brackenwalk/__main__.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import os
+import resource
 import signal
 import sys
 from contextlib import suppress
@@ -31,6 +32,7 @@
 FIRST_LIST = (
     1.0  # seconds to hear of it before serving from the one known: an agent answers within ms or is down
 )
+FEWEST = 64  # descriptors with which a router can serve
 RESERVE = 32  # descriptors for the loop, the log, the listener and discovery
 
 
@@ -75,7 +77,7 @@
         raise ConfigError(f"seed must be hex digits, not {seed!r}") from None
     try:
         settings = read_settings(table.get("settings"))
-        sockets = int(number(section(table, "limits"), "sockets", 1024, "limits.", 64))
+        sockets = int(number(section(table, "limits"), "sockets", 1024, "limits.", FEWEST))
         index, _, known = read_list(table.get("known"), "known")
     except (api.SettingsError, ListError) as e:
         raise ConfigError(str(e)) from e
@@ -91,10 +93,25 @@
         raise ConfigError(f"RELAY_CONFIG: {e}") from e
 
 
+def descriptors(allowed: int) -> int:
+    """How many this process can open of those that a configuration allows.
+
+    Guards discovery: with budgets beyond the process's own limit, idle clients would take what its
+    connection needs, and none of them would be ended for it.
+    """
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if limit == resource.RLIM_INFINITY or limit >= allowed:
+        return allowed
+    if limit < FEWEST:
+        raise ConfigError(f"limits.sockets: this process may open {limit}, and needs {FEWEST}")
+    logging.warning("limits.sockets is %d, but this process may open %d", allowed, limit)
+    return limit
+
+
 async def serve(config: Config, path: str) -> None:
     """Serve until SIGTERM, and then what was taken."""
     settings = config.settings
-    room = config.sockets - RESERVE
+    room = descriptors(config.sockets) - RESERVE
     times = settings.dial_timeout, settings.connection_idle
     servers = Pool(CacheConnection, room * 3 // 8, *times)
     origin = Pool(OriginConnection, room // 8, *times)
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -35,13 +35,13 @@
 )
 
 
-def run(scenario: Callable[[], Awaitable[None]]) -> None:
+def run(scenario: Callable[[], Awaitable[None]], patience: float = PATIENCE) -> None:
     """Play a test to its end; it fails when it waits for what never comes, or a callback raises."""
     faults: list[dict[str, Any]] = []
 
     async def bounded() -> None:
         asyncio.get_running_loop().set_exception_handler(lambda _, fault: faults.append(fault))
-        async with asyncio.timeout(PATIENCE):
+        async with asyncio.timeout(patience):
             await scenario()
 
     asyncio.run(bounded())
--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import re
+import resource
 import signal
 import socket
 import sys
@@ -84,6 +85,20 @@
     assert field in line
 
 
+@pytest.mark.parametrize(
+    ("limit", "room"), [(resource.RLIM_INFINITY, 1024), (4096, 1024), (1024, 1024), (64, 64), (63, None)]
+)
+def test_no_more_descriptors_are_planned_with_than_the_process_may_open(
+    limit: int, room: int | None, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(resource, "getrlimit", lambda _: (limit, resource.RLIM_INFINITY))
+    if room is None:
+        with pytest.raises(program.ConfigError, match=r"^limits\.sockets"):
+            program.descriptors(1024)
+    else:
+        assert program.descriptors(1024) == room
+
+
 @pytest.mark.parametrize("text", [None, b"", b"{", b"[]"])
 def test_no_configuration_ends_the_start_in_one_line(
     text: bytes | None, tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
@@ -124,15 +139,23 @@
 
 
 @asynccontextmanager
-async def program_run(config: dict[str, Any], path: Path) -> AsyncIterator[asyncio.subprocess.Process]:
-    """The program with a configuration."""
+async def program_run(
+    config: dict[str, Any], path: Path, descriptors: int | None = None
+) -> AsyncIterator[asyncio.subprocess.Process]:
+    """The program with a configuration, and a limit on its descriptors."""
     path.write_bytes(orjson.dumps(config))
+
+    def limit() -> None:
+        if descriptors is not None:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors))
+
     process = await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
         "brackenwalk",
         env={**os.environ, "RELAY_CONFIG": str(path)},
         stderr=asyncio.subprocess.PIPE,
+        preexec_fn=limit,
     )
     try:
         yield process
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -3,16 +3,23 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
 import struct
+from collections.abc import AsyncIterator, Callable
+from contextlib import AsyncExitStack, asynccontextmanager, suppress
+from pathlib import Path
+from typing import Any
 
 import pytest
 
 from brackenwalk import interface as api
 from brackenwalk.net import clients
 from brackenwalk.net.clients import ClientConnection
-from tests.loopback import HIT, MISS, Link, Router, book, command, http, read, run
+from tests.loopback import HIT, MISS, Link, Peer, Router, book, command, http, read, run, spelled
 from tests.test_endings import Dials, first_dial, requests_written, until
+from tests.test_main import configured, listening, program_run, ready
+from tests.test_net_discovery import LINE, message
 from tests.test_net_pool import GET
 
 # A client that has left: the tests' sockets block, so that it has left before the router's loop looks again
@@ -184,3 +191,121 @@
             client.close()
 
     run(scenario)
+
+
+# Full tables of descriptors
+
+PATIENT = 60.0  # seconds for a test with a process of its own, which starts on a busy machine
+SOCKETS = 64  # the fewest that a configuration may allow
+LONG = "c=read,t=t,d=600000"
+
+
+async def eventually(holds: Callable[[], object]) -> None:
+    """Go on once something holds that another process brings about."""
+    while not holds():
+        await asyncio.sleep(0.01)
+
+
+@asynccontextmanager
+async def peers(count: int) -> AsyncIterator[list[Peer]]:
+    async with AsyncExitStack() as stack:
+        yield [await stack.enter_async_context(Peer()) for _ in range(count)]
+
+
+def listed(name: str, peer: Peer, kind: str = "std") -> dict[str, Any]:
+    return {**LINE, "name": name, "address": peer.address, "type": kind, "since_ms": 0, "weight": 1.0}
+
+
+async def serve_all(peer: Peer, served: list[Peer]) -> None:
+    """Answer all that comes, and note at whom."""
+
+    async def answer(link: Link) -> None:
+        with suppress(AssertionError, ConnectionError):  # the connection's end
+            while True:
+                await link.resp()
+                link.write(HIT)
+                served.append(peer)
+
+    async with asyncio.TaskGroup() as links:
+        while True:
+            links.create_task(answer(await peer.link()))
+
+
+class Agent(Peer):
+    """Discovery on a port that refuses until it comes back."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.socket = socket.socket()
+        self.socket.bind(("127.0.0.1", 0))
+        self.address = spelled(self.socket.getsockname())
+
+    async def come_back(self) -> None:
+        self.server = await asyncio.start_server(self._accept, sock=self.socket)
+
+
+@pytest.mark.parametrize("allowed", [SOCKETS, 1024])  # by the configuration: the process's own limit counts
+@pytest.mark.parametrize("down", ["refused", "silent"])
+def test_a_list_is_learnt_while_clients_and_attempts_fill_the_descriptors(
+    down: str, allowed: int, tmp_path: Path
+) -> None:
+    """Idle clients, silent ones and attempts that hang, as many as there may be of each."""
+
+    async def scenario() -> None:
+        async with peers(5) as (*caches, fresh, origin):
+            agent = Agent()
+            config = configured(caches[0], agent, "automatic")
+            known = [listed(f"s-{n}", c) for n, c in enumerate(caches)] + [listed("o", origin, "store")]
+            config["known"]["endpoints"] = known
+            config["limits"] = {"sockets": allowed}
+            if down == "silent":
+                await agent.come_back()
+            async with program_run(config, tmp_path / "config.json", SOCKETS) as process:
+                address = await listening(process.stderr)
+                drain = asyncio.create_task(drained(process.stderr))
+                room = SOCKETS - 32
+                busy = [await ready(address) for _ in range(3)]
+                for n in range(31):
+                    for i in (0, 1):
+                        busy[i].write(read(f"r{i}-{n}", f"k{i}-{n}", LONG))
+                    busy[2].write(command("C.SET", f"k{n}", f"w{n}", "c=pay,t=t,d=600000,k=1", "v"))
+                await eventually(lambda: sum(p.links.qsize() for p in caches) == room * 3 // 8)
+                await eventually(lambda: origin.links.qsize() == room // 8)
+                crowd = [await ready(address) for _ in range(SOCKETS)]
+                crowd += [await opened(address) for _ in range(SOCKETS)]
+                used = len(os.listdir(f"/proc/{process.pid}/fd"))
+                assert room < used <= SOCKETS
+                if down == "refused":
+                    await agent.come_back()
+                else:
+                    while not agent.links.empty():
+                        (await agent.link()).reset()
+                call = await agent.link()
+                await call.http()
+                call.write(http("200 OK", message(50, True, *known, listed("s-new", fresh))))
+                assert "after=50&" in (await (await agent.link()).http())[0]
+                client = await ready(address)
+                served: list[Peer] = []
+                serving = [asyncio.create_task(serve_all(p, served)) for p in (*caches, fresh)]
+                keys = iter(range(200))
+                while not {caches[0], fresh} <= set(served):
+                    n = next(keys)
+                    client.write(read(f"x{n}", f"x{n}", LONG))
+                    await client.resp()
+                for task in (*serving, drain):
+                    task.cancel()
+                for link in (*busy, *crowd, client):
+                    link.close()
+            await agent.__aexit__(None, None, None)
+
+    run(scenario, PATIENT)
+
+
+async def opened(address: tuple[str, int]) -> Link:
+    return Link(*await asyncio.open_connection(*address))
+
+
+async def drained(log: asyncio.StreamReader | None) -> None:
+    """A log that nobody reads would stop its process."""
+    while log is not None and await log.readline():
+        pass
