Test that a start costs no more than in proportion to the list, and asks for it once

On a scratch copy: a list taken entry by entry, so that the ring is built for each, makes 14.8 times the calls and fails; a first call made twice fails at `wait_ms=0`.

--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -6,19 +6,29 @@
 import os
 import socket
 import struct
+import sys
+import time
 from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack, asynccontextmanager, suppress
 from pathlib import Path
+from types import FrameType
 from typing import Any
 
+import orjson
 import pytest
 
+from brackenwalk import __main__ as program
 from brackenwalk import interface as api
 from brackenwalk.net import clients
 from brackenwalk.net.clients import ClientConnection
+from brackenwalk.net.discovery import read_list
+from brackenwalk.net.host import Host
+from brackenwalk.net.origin import OriginConnection
+from brackenwalk.net.pool import Pool
+from brackenwalk.net.servers import CacheConnection
 from tests.loopback import HIT, MISS, Link, Peer, Router, book, command, http, read, run, spelled
 from tests.test_endings import Dials, first_dial, requests_written, until
-from tests.test_main import configured, listening, program_run, ready
+from tests.test_main import GOOD, configured, listening, program_run, ready
 from tests.test_net_discovery import LINE, message
 from tests.test_net_pool import GET
 
@@ -309,3 +319,94 @@
     """A log that nobody reads would stop its process."""
     while log is not None and await log.readline():
         pass
+
+
+# The start
+
+
+def lines(count: int) -> list[dict[str, Any]]:
+    """Entries of cache servers at addresses that nobody connects to here."""
+    return [
+        {**LINE, "name": f"s-{n:08x}", "address": f"10.1.{n // 200}.{n % 200 + 1}:6379", "type": "std"}
+        for n in range(count)
+    ]
+
+
+class Start:
+    """What a host does with the list known and then, the same once more, with the first whole one."""
+
+    def __init__(self, count: int) -> None:
+        entries = lines(count)
+        self.config = {**GOOD, "known": {"index": 1, "snapshot": True, "endpoints": entries}}
+        self.text = orjson.dumps(self.config)
+        self.answer = message(2, True, *entries)
+
+    def run(self) -> None:
+        config = program.read_config(self.text)
+        servers, origin = Pool(CacheConnection, 8, 1.0, 60.0), Pool(OriginConnection, 8, 1.0, 60.0)
+        host = Host(config.settings, config.seed, servers, origin, lambda: None)
+        host.list_told(api.ListKind.SAVED, config.known)
+        host.list_told(api.ListKind.FULL, read_list(orjson.loads(self.answer))[2])
+
+    def calls(self) -> int:
+        """Functions called, those of the interpreter's own included."""
+        counted = 0
+
+        def count(frame: FrameType, event: str, argument: object) -> None:
+            nonlocal counted
+            counted += event in ("call", "c_call")
+
+        sys.setprofile(count)
+        try:
+            self.run()
+        finally:
+            sys.setprofile(None)
+        return counted
+
+    def seconds(self) -> float:
+        """Processor time, at best."""
+        spent = []
+        for _ in range(5):
+            began = time.process_time()
+            self.run()
+            spent.append(time.process_time() - began)
+        return min(spent)
+
+
+def test_the_work_of_a_start_grows_no_faster_than_the_list() -> None:
+    """On a shared core, with 840 entries, nine in ten have to be ready within 10 s."""
+    few, many = Start(210), Start(840)
+    assert many.calls() < 1.25 * 4 * few.calls()
+    assert many.seconds() < 3.0 * 4 * few.seconds()  # also what no call shows
+
+
+def processor_seconds(process: asyncio.subprocess.Process) -> float:
+    fields = Path(f"/proc/{process.pid}/stat").read_text().rpartition(")")[2].split()
+    return sum(map(int, fields[11:13])) / os.sysconf("SC_CLK_TCK")
+
+
+def test_a_start_with_840_entries_asks_discovery_once(
+    tmp_path: Path, record_property: Callable[[str, object], None]
+) -> None:
+    """Where all that were killed start together, a second call for the list waits behind all first ones."""
+
+    async def scenario() -> None:
+        async with Peer() as agent:
+            entries = lines(840)
+            config = configured(agent, agent, "automatic")
+            config["known"]["endpoints"] = entries
+            async with program_run(config, tmp_path / "config.json") as process:
+                call = await agent.link()
+                assert "after=1&" in (await call.http())[0]
+                call.write(http("200 OK", message(2, True, *entries)))
+                client = await ready(await listening(process.stderr))
+                record_property("processor_seconds", processor_seconds(process))
+                watch = await agent.link()  # on what comes after the list: no second call for it
+                first, _, _ = await watch.http()
+                assert "after=2&" in first and "wait_ms=0 " not in first
+                client.write(command("PING"))
+                assert await client.resp() == b"PONG"
+                assert agent.links.empty()
+                client.close()
+
+    run(scenario, PATIENT)
