Scale experiments: some page caches fail while sockets are measured

Cause: the stand-in's faults were not reached by an experiment nor a test. Change: a size may name faulty caches, which die, hang or drain for a while; a test of the cache's states on sockets.

--- a/scalelab/kinds/sockets.py
+++ b/scalelab/kinds/sockets.py
@@ -16,7 +16,7 @@
 import tomllib
 from collections.abc import Iterator, Mapping
 from pathlib import Path
-from typing import Any
+from typing import Any, Literal
 
 import orjson
 import psutil
@@ -57,6 +57,10 @@
     origin_most_at_once: int = Field(200, ge=1, le=100_000, description="fetches in hand at the origin")
     connection_price: float = Field(0.05, ge=0, le=10, description="of 100 open connections at every cache")
     handshake_price: float = Field(0.05, ge=0, le=10, description="of a new connection for every request")
+    fault: Literal["dead", "hang", "drain"] = Field(
+        "dead", description="of the caches that a size names as faulty; the list does not tell it"
+    )
+    fault_s: float = Field(5.0, gt=0, le=600, description="of the fault, from where measuring begins")
 
 
 SIZES = {
@@ -64,7 +68,7 @@
     "caches": "page caches",
     "requests_per_s": "at each router",
     "siblings": "routers in all, as the settings tell",
-}
+}  # and, where some are to fail, `faulty`: page caches that do
 METRICS = {
     "requests_per_s": "requests that clients sent, all routers",
     "served_share": "requests served, of those that ended",
@@ -284,6 +288,18 @@
         clients = self.clients.ask("stats", restart=True)
         return {"caches": self.caches.ask("stats"), "clients": clients, "cpu_s": cpu_s}
 
+    def play(self) -> None:
+        """Let the time pass that is measured, with the fault of some caches at its beginning."""
+        p, faulty = self.parameters, int(self.size.get("faulty", 0))
+        left = p.measure_s
+        if faulty:
+            names = [e["name"] for e in cache_entries(int(self.size["caches"]))[:faulty]]
+            self.caches.ask("mode", names=names, mode=p.fault)
+            time.sleep(min(p.fault_s, left))
+            left -= min(p.fault_s, left)
+            self.caches.ask("mode", names=names, mode="serve")
+        time.sleep(left)
+
     def stop(self) -> None:
         """End all of this sample."""
         for process in reversed(self.processes):
@@ -364,7 +380,7 @@
         lab.progress("measure")
         references = [reference()]
         before = site.usage()
-        time.sleep(parameters.measure_s)
+        site.play()
         after = site.usage()
         references.append(reference())
         if any(not r.is_running() or r.status() == psutil.STATUS_ZOMBIE for r in site.routers):
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -3,15 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from typing import Any
 
 import orjson
+import pytest
 
 from brackenwalk import interface as api
 from brackenwalk.net.discovery import Discovery
 from scalelab.standins import discovery as standin
 from scalelab.standins.cache import Cache, Plan
-from tests.loopback import Link, run, spelled
+from tests.loopback import Link, read, run, spelled
 from tests.test_net_discovery import LINE
 
 
@@ -81,18 +83,19 @@
     run(scenario)
 
 
+PLAN: dict[str, Any] = {
+    "value_bytes": 3,
+    "service_s": 0.0,
+    "handshake_s": 0.0,
+    "idle_s": 9.0,
+    "most_connections": 2,
+    "most_keys": 2,
+    "warm": False,
+}
+
+
 def test_a_cache_holds_what_missed_there_once_the_origin_has_answered_until_it_is_written() -> None:
-    plan = Plan(
-        {
-            "value_bytes": 3,
-            "service_s": 0.0,
-            "handshake_s": 0.0,
-            "idle_s": 9.0,
-            "most_connections": 2,
-            "most_keys": 2,
-            "warm": False,
-        }
-    )
+    plan = Plan(PLAN)
     first, other = (Cache(plan, name, ("127.0.0.1", 0)) for name in "ab")
     plan.missed(b"r1", first)
     plan.fetched(b"k1", b"r1", False, [first, other])
@@ -102,3 +105,37 @@
     for key in (b"k1", b"k2", b"k3"):
         first.hold(key)
     assert not first.has(b"k1") and first.has(b"k3")  # no more than it has room for
+
+
+def test_a_cache_drains_hangs_dies_and_comes_back_empty() -> None:
+    async def scenario() -> None:
+        with socket.create_server(("127.0.0.1", 0)) as taken:
+            address = taken.getsockname()
+        cache = Cache(Plan({**PLAN, "warm": True}), "a", address)
+        await cache.listen()
+        links = [Link(*await asyncio.open_connection(*address)) for _ in range(3)]
+        for link, value in zip(links, (b"vvv", b"vvv", None), strict=True):
+            link.write(read("r1"))
+            answer = await link.resp()
+            if value is None:  # over the limit of two
+                assert str(answer) == "BUSY" and await link.ended()
+            else:
+                assert answer == [value, b"hit", b"svc_ms=0.0,pending=0"]
+        await cache.set_mode("drain")
+        links[0].write(read("r2"))
+        assert str(await links[0].resp()) == "BUSY"
+        await cache.set_mode("hang")
+        links[0].write(read("r3"))
+        await cache.set_mode("dead")
+        assert await links[0].ended() and await links[1].ended()
+        with pytest.raises(ConnectionRefusedError):
+            await asyncio.open_connection(*address)
+        await cache.set_mode("serve")
+        link = Link(*await asyncio.open_connection(*address))
+        link.write(read("r4"))
+        assert (await link.resp())[:2] == [None, b"miss"]
+        assert (cache.accepted, cache.handshakes, cache.hits, cache.missed, cache.busy) == (4, 3, 2, 1, 2)
+        link.close()
+        await cache.set_mode("dead")
+
+    run(scenario)
