--- a/scalelab/kinds/watch.py
+++ b/scalelab/kinds/watch.py
@@ -24,14 +24,11 @@
 
 LONGEST_US = 600_000_000  # that a histogram holds
 POLL_S = 0.25
-PHASE_S = (
-    1.2  # calls come in step after a change, 3 s apart: whole rounds are counted from between two of them
-)
 PATIENCE_S = 90.0  # for an answer of a process that is busy with some thousand routers
 Mode = Literal["asked", "pushed"]
-Outage = Literal["silent", "reset", "refuse"]
+Outage = Literal["silent", "reset", "refuse", "busy"]
 MODES: tuple[Mode, ...] = ("asked", "pushed")
-OUTAGES: tuple[Outage, ...] = ("silent", "reset", "refuse")
+OUTAGES: tuple[Outage, ...] = ("silent", "reset", "refuse", "busy")
 
 
 class Parameters(BaseModel):
@@ -53,7 +50,8 @@
     modes: list[Mode] = Field(list(MODES), min_length=1, description="asked for by routers, or pushed")
     outages: list[Outage] = Field(
         ["silent", "reset"],
-        description="silent: calls in it are never answered; reset: and reset at its end; refuse: a dead one",
+        description="silent: calls in it are never answered; reset: and reset at its end; "
+        "refuse: a dead one; busy: 503 after 2 s",
     )
 
 
@@ -330,7 +328,7 @@
 
 def outage(fleet: Fleet, how: Outage) -> tuple[dict[str, float], HdrHistogram]:
     """Discovery goes, the list changes, discovery comes back: what it meets, and when all have the list."""
-    ask_all(fleet.discoveries, "refuse" if how == "refuse" else "silent")
+    ask_all(fleet.discoveries, "silent" if how == "reset" else how)
     time.sleep(fleet.parameters.outage_s / 2)
     fleet.change()
     time.sleep(fleet.parameters.outage_s / 2)
