--- a/scalelab/kinds/zone_loss.py
+++ b/scalelab/kinds/zone_loss.py
@@ -2,7 +2,8 @@
 
 What is lost stays silent: connections to it stay open, new ones never come up, and each router is told late.
 It comes back cold and empty. A region that is cut off keeps its routers and caches, which reach only each
-other. All routers of the fleet are run, and each cache's rate of requests is the same at all sizes.
+other. All routers of the fleet are run, and each cache's rate of requests is the same at all sizes. A size
+may have the module told of more routers than are run (`told`), for what rests on their number alone.
 """
 
 from __future__ import annotations
@@ -74,7 +75,8 @@
     rate = caches * cores * parameters.use_share / plain.mean_service
     fetches = rate * (1 - plain.hit_share + plain.write_share)
     model = Model(
-        routers=routers,
+        routers=int(size.get("told", routers)),
+        sampled=routers,
         caches=caches,
         requests_per_s=rate / routers,
         zones=parameters.zones,
@@ -123,7 +125,7 @@
         return
     origin_before = fleet.counts["origin"] / parameters.before_s
     metrics = {
-        "requests_per_s": fleet.model.requests_per_s * fleet.model.routers,
+        "requests_per_s": fleet.model.requests_per_s * fleet.model.run,
         "caches_lost": float(len(fleet.caches) - len(names) if cut else len(names)),
         "before_served_share": fleet.served_share(),
         "before_dials_per_request": per_request(fleet, "dials"),
