--- a/scalelab/report.py
+++ b/scalelab/report.py
@@ -111,6 +111,8 @@
         str, float
     ] = {}  # the smallest sizes that are fitted, by column: today's, where a slope bends
 
+    where: dict[str, float] = {}  # the only sizes that are fitted, by column
+
     @model_validator(mode="after")
     def _both(self) -> Measured:
         if self.over is not None and self.form is None:
@@ -308,6 +310,7 @@
             (size, value)
             for size, value in points_of(self.result(measured.result), measured.metric)
             if all(size.get(column, 0) >= least for column, least in measured.least.items())
+            and all(size.get(column) == x for column, x in measured.where.items())
         ]
         if not points:
             raise NotMeasured(f"{measured.metric} of {measured.result}")
