--- a/scalelab/report.py
+++ b/scalelab/report.py
@@ -27,6 +27,7 @@
     BEYOND,
     NEAR,
     NOISE,
+    PAIR,
     Fit,
     FitError,
     Form,
@@ -693,6 +694,7 @@
         for metric, unit in zip(comparison.metrics, comparison.units, strict=True):
             points = [points_of(result, metric) for result in (before, after)]
             columns = varying(points[0])
+            columns = tuple(c for c in columns if c in PAIR) or columns
             first, second = _means(before, metric), _means(after, metric)
             for size in sorted(first.keys() & second.keys()):
                 if any(x not in comparison.at.get(name, [x]) for name, x in size):
