--- a/scalelab/fleet.py
+++ b/scalelab/fleet.py
@@ -479,9 +479,9 @@
     def reachable(self, instance: Instance, cache: Cache) -> bool:
         if not cache.up:
             return False
-        return instance.region == cache.region or not (
-            instance.region in self.cut or cache.region in self.cut
-        )
+        if instance.region == cache.region or cache is self.origin and self.model.origin_everywhere:
+            return True
+        return instance.region not in self.cut and cache.region not in self.cut
 
     def share(self, cache: Cache) -> float:
         """Of its capacity that a cache has now: evenly from the cold share to all of it."""
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from brackenwalk import interface as api
@@ -53,6 +55,19 @@
     assert all(len(i.idle) <= i.table.now for i in fleet.instances)
 
 
+def test_a_region_that_is_cut_off_reaches_its_own() -> None:
+    for everywhere in (False, True):
+        fleet = Fleet(site_settings(), replace(SMALL, origin_everywhere=everywhere), 1)
+        fleet.cut = {2}
+        inside, outside = fleet.instances[2], fleet.instances[0]
+        reached = [[fleet.reachable(i, c) for c in fleet.caches.values()] for i in (inside, outside)]
+        assert reached == [[False, False, True] * 2, [True, True, False] * 2]
+        assert (fleet.reachable(inside, fleet.origin), fleet.reachable(outside, fleet.origin)) == (
+            everywhere,
+            True,
+        )
+
+
 def test_a_seed_gives_the_same_figures() -> None:
     one, two, other = troubled(3), troubled(3), troubled(4)
     assert (one.counts, one.latencies) == (two.counts, two.latencies)
