--- a/scalelab/report.py
+++ b/scalelab/report.py
@@ -410,6 +410,12 @@
         """Whether any term of a line was measured at one size only, so that none of its slopes is known."""
         return any(self.fit(m).sizes == 1 for m in line.measured.values())
 
+    def beyond(self, line: Carried, formulas: Sequence[Expression], size: Size) -> float:
+        """How far a size lies beyond what was measured of the terms of formulas, at most; 1 within."""
+        names = set().union(*(f.names for f in formulas))
+        used = [m for n, m in line.measured.items() if n in names]
+        return max((self.fit(m).beyond(self.size_of(m, size)) for m in used), default=1.0)
+
     def measured_names(self, formula: Expression) -> set[str]:
         """All names that a formula rests on, through figures."""
         names, waiting = set(formula.names), list(formula.names)
@@ -424,11 +430,10 @@
     def basis(self, line: Carried, formula: Expression | None = None) -> str:
         """How a line is known: measured, extrapolated and how far, given, and what is assumed."""
         formula = formula or line.value
-        size = self.way.size(1.0)
         parts = []
         used = {n: m for n, m in line.measured.items() if n in formula.names}
         fits = {n: self.fit(m) for n, m in used.items()}
-        far = max((fits[n].beyond(self.size_of(m, size)) for n, m in used.items()), default=1.0)
+        far = self.beyond(line, [formula], self.way.size(1.0))
         if any(f.sizes > 1 for f in fits.values()):
             parts.append("measured" if far <= 1.0 + NEAR else f"extrapolated {number(far, 2)} times")
         for fixed in {json.dumps(f.fixed): f.fixed for f in fits.values() if f.sizes == 1}.values():
@@ -532,10 +537,10 @@
     """A line and where it breaks."""
 
     line: Line
-    at: float | None
-    today: float
-    target: float
-    beyond: float
+    at: float | None  # -1 where nothing carries it at any size
+    today: float = 0.0
+    target: float = 0.0
+    beyond: float = 0.0
 
 
 class Page:
@@ -606,9 +611,9 @@
     def break_text(self, line: Line) -> str:
         """Where a line breaks, and where it would a standard error to either side."""
         at = self.book.break_at(line)
-        text = size_text(self.way, at)
+        text = self.where(self.book, line, at)
         if self.book.one_size(line):
-            return BROKEN_THERE if at == 0 else HELD_THERE
+            return text
         if at == 0:
             return f"{text} ({number(self.book.ratio(line, self.way.size(0.0)))} times the budget)"
         early, late = self.book.break_at(line, 1.0), self.book.break_at(line, -1.0)
@@ -616,6 +621,16 @@
             return text
         return f"{text} ({size_text(self.way, early)} to {size_text(self.way, late)})"
 
+    def where(self, book: Book, line: Line, at: float | None) -> str:
+        """The size at which a line breaks, and how far that lies beyond what was measured."""
+        if book.one_size(line):
+            return BROKEN_THERE if at == 0 else HELD_THERE
+        text = size_text(self.way, at)
+        if at is None:
+            return text
+        far = book.beyond(line, [line.value], self.way.size(at))
+        return text if far <= 1.0 + NEAR else f"{text}, {number(far, 2)} times beyond what was measured"
+
     def ranks(self, book: Book, contradiction: bool = False) -> list[Rank]:
         """The lines that have a budget and are measured, the smallest break first."""
         ranks = []
@@ -626,7 +641,8 @@
                 sizes = (self.way.size(0.0), self.way.size(1.0), self.way.beyond())
                 ranks.append(Rank(line, book.break_at(line), *(book.ratio(line, size) for size in sizes)))
             except NotMeasured:
-                continue
+                if line.mechanism == MISSING:
+                    ranks.append(Rank(line, -1.0))
         return sorted(
             ranks, key=lambda r: (math.inf if r.at is None else r.at, -r.today if r.at == 0 else -r.target)
         )
@@ -634,22 +650,15 @@
     def ranking(self, book: Book, contradiction: bool = False) -> list[str]:
         """Where lines break, the smallest size first."""
         titles = {r.name: r.title for r in self.capacity.roles}
-        rows = [
-            [
-                str(i + 1),
-                titles[r.line.role],
-                f"{r.line.kind}: {r.line.what}",
-                (BROKEN_THERE if r.at == 0 else HELD_THERE)
-                if book.one_size(r.line)
-                else size_text(self.way, r.at),
-                number(r.today),
-                number(r.target),
-                number(r.beyond),
-                book.basis(r.line),
-                mechanism_text(r.line.mechanism),
-            ]
-            for i, r in enumerate(self.ranks(book, contradiction))
-        ]
+        rows = []
+        for i, r in enumerate(self.ranks(book, contradiction)):
+            row = [str(i + 1), titles[r.line.role], f"{r.line.kind}: {r.line.what}"]
+            if r.at == -1.0:
+                row += ["at any size", "-", "-", "-", "not measured"]
+            else:
+                row += [self.where(book, r.line, r.at), *map(number, (r.today, r.target, r.beyond))]
+                row.append(book.basis(r.line))
+            rows.append([*row, mechanism_text(r.line.mechanism)])
         header = [
             "", "role", "what", "breaks at (routers / caches)", "ratio today", "ratio at the target",
             f"ratio at {BEYOND:g} times the target", "known by", "carried by",
