--- a/scalelab/report.py
+++ b/scalelab/report.py
@@ -719,9 +719,13 @@
                 timed = unit in ("s", "cores") and metric != comparison.reference and a
                 fair = timed and all(size in w for w in work)
                 rows.append([*row, number(b / a * work[0][size] / work[1][size]) if fair else "-"])
-            if all(points):
-                fits = [describe_slopes(_growth(metric, p)) for p in points]
-                rows.append([f"`{metric}`", "all sizes, fitted", *fits, "-", "-"])
+            within = [
+                [(z, v) for z, v in p if all(z[c] <= max(xs) for c, xs in comparison.at.items() if c in z)]
+                for p in points
+            ]
+            if all(within):
+                fits = [describe_slopes(_growth(metric, p)) for p in within]
+                rows.append([f"`{metric}`", "all sizes up to the last, fitted", *fits, "-", "-"])
         return table(header, rows) if rows else unknown
 
     def results(self) -> list[str]:
