Rest a crowded server no longer than a server takes to bear its all

Cause: a server that reports a jam rests for one service time for each router of the fleet (`siblings * usual` in `_note_load`), so that what all send as they come back is less than it bears. At 200 routers that is some 10 s; at 7,100 it is six minutes, in which nobody sends to a server long idle.

Seen in the scale experiment `surge` (clients ask for 2.5 times the usual for 3 s; 40 caches of four cores, 20 routers run, told of more): all is served again after 8 s with 200 routers, after 23 s with 500, and not within the 27 s looked at with 1,000 and 7,100, where 13% are served.

Change: the rest is at most the ramp of the settings, the longest time in which a server comes to bear its all; with its jitter routers come back over half of that.

Test: without the change 1,000 and 7,100 routers rest for 44 and 312 s, of 11 allowed.

--- a/brackenwalk/policy.py
+++ b/brackenwalk/policy.py
@@ -337,8 +337,10 @@
             if event.load.waiting < 1:
                 self.usual += SMOOTHING * (event.load.service - self.usual)
         if server.cache and delay > CROWDED * self.shortest_aim:
-            # as all routers that meet it rest for so long, what they send together is less than it bears
+            # as all routers that meet it rest for so long, what they send together is less than it bears;
+            # and no longer than a server takes to bear its all: a large fleet would rest for minutes
             pause = max(self.settings.siblings * self.usual, min(self.settings.ramp / 2, delay))
+            pause = min(pause, self.settings.ramp)
             server.rest_until = self.now + pause * self.random.uniform(0.75, 1.25)
 
     def _silent(self, server: Server) -> bool:
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -104,6 +104,16 @@
     assert seconds_between_sends(3) < 0.5 * seconds_between_sends(40)  # a few routers need no such rest
 
 
+@pytest.mark.parametrize("siblings", [40, 1000, 7100])
+def test_no_fleet_rests_a_server_for_longer_than_it_takes_to_bear_its_all(siblings: int) -> None:
+    """A rest of one service time for each router: after a surge of 3 s those of 7,100 rested for minutes."""
+    d = Driver(settings(siblings=siblings, ramp=9.0))
+    d.list(*(entry(s) for s in "abcdef"))
+    d.router.usual = 0.05
+    rest = d.router.servers[jam(d, "r")].rest_until - d.now
+    assert 0 < rest <= 9.0 * 1.25
+
+
 def test_a_server_on_its_way_into_a_jam_rests_before_it_is_in_one() -> None:
     d = Driver(settings(siblings=40))
     d.list(*(entry(s) for s in "abcdef"))
