--- a/scalelab/report.py
+++ b/scalelab/report.py
@@ -442,6 +442,10 @@
             parts.append("measured" if far <= 1.0 + NEAR else f"extrapolated {number(far, 2)} times")
         for fixed in {json.dumps(f.fixed): f.fixed for f in fits.values() if f.sizes == 1}.values():
             parts.append("measured only at " + ", ".join(f"{c} {number(x, 5)}" for c, x in fixed.items()))
+        if not self.before and any(
+            self.file(m.result).name.endswith(f"{BEFORE}.json") for m in used.values()
+        ):
+            parts.append("on the version before only")
         names = self.measured_names(formula)
         for measured in used.values():
             for column in self.fit(measured).columns:
