--- a/scalelab/fleet.py
+++ b/scalelab/fleet.py
@@ -107,6 +107,15 @@
         """Routers of the fleet for each that is run."""
         return self.routers / self.run
 
+    def rate_at(self, use_share: float, cores: int) -> float:
+        """Requests a second of the whole fleet that keep this share of all caches' cores at work."""
+        return self.caches * cores * use_share / self.mean_service
+
+    def origin_cores_for(self, requests_per_s: float, headroom: float) -> int:
+        """Cores with which the origin bears so many times the fetches of this rate."""
+        fetches = requests_per_s * (1 - self.hit_share + self.write_share)
+        return max(1, round(headroom * fetches * sum(self.origin_service) / 2))
+
     @property
     def mean_service(self) -> float:
         """Seconds of a core for a read or its miss."""
--- a/scalelab/kinds/surge.py
+++ b/scalelab/kinds/surge.py
@@ -47,7 +47,7 @@
     """One sample: `size` has routers, how many of them are run, caches and the cores of a cache."""
     caches, cores, run = int(size["caches"]), int(size["cores"]), int(size["routers_run"])
     plain = Model(run, caches, 1.0)
-    rate = caches * cores * parameters.use_share / plain.mean_service
+    rate = plain.rate_at(parameters.use_share, cores)
     model = Model(
         routers=int(size["routers"]),
         sampled=run,
--- a/scalelab/kinds/zone_loss.py
+++ b/scalelab/kinds/zone_loss.py
@@ -72,8 +72,7 @@
     """The fleet at rest."""
     routers, caches, cores = int(size["routers"]), int(size["caches"]), int(size["cores"])
     plain = Model(routers, caches, 1.0)
-    rate = caches * cores * parameters.use_share / plain.mean_service
-    fetches = rate * (1 - plain.hit_share + plain.write_share)
+    rate = plain.rate_at(parameters.use_share, cores)
     model = Model(
         routers=int(size.get("told", routers)),
         sampled=routers,
@@ -87,7 +86,7 @@
         cores=cores,
         tries=parameters.tries,
         origin_everywhere=parameters.origin_everywhere,
-        origin_cores=max(1, round(parameters.origin_headroom * fetches * sum(plain.origin_service) / 2)),
+        origin_cores=plain.origin_cores_for(rate, parameters.origin_headroom),
     )
     return Fleet(site_settings(), model, seed)
 
--- a/scalelab/results.py
+++ b/scalelab/results.py
@@ -19,7 +19,7 @@
 from scalelab.lab import Sample
 
 ROOT = Path(__file__).parent.parent
-PACKAGES = ("click", "h11", "hdrhistogram", "jinja2", "numpy", "orjson", "psutil", "pydantic", "structlog")
+PACKAGES = ("click", "h11", "hdrhistogram", "numpy", "orjson", "psutil", "pydantic", "structlog")
 
 
 class Measured(BaseModel):
