Endpoint polls: the backoff doubles in steps, so that no outage overflows it

Symptom: after 1,025 consecutive failed calls to discovery the router never watches the endpoint list again. Cause: EndpointPoller raised 2.0 to the power of the number of failures. At the 1,026th the result exceeds the range of a float; the OverflowError ended the report of the failure, so that no timer for the next poll was set. Change: the poller keeps the backoff and doubles it after each failure, bounded by the slow start's duration. The values are the same.

--- a/cache_router/decisions/endpoint_polling.py
+++ b/cache_router/decisions/endpoint_polling.py
@@ -20,18 +20,18 @@
         self._budget = settings.watch_budget
         self._poll_due = now + self._budget.poll_cycle  # latest start of the next call
         self._longest_wait = self._budget.max_backoff  # after a failure, even when the next call is due
-        self.failures = 0  # consecutive
+        self._forget_failures()
 
     def on_update(self, is_cached: bool, now: float) -> None:
         """An update arrived; unless the list was cached, it shows that discovery is reachable."""
         self._poll_due = now + self._budget.poll_cycle
         self._longest_wait = self._budget.max_backoff
         if not is_cached:
-            self.failures = 0
+            self._forget_failures()
 
     def on_address_changed(self, now: float) -> None:
         """Forget the failures of the old address, so that they do not delay calls to the new one."""
-        self.failures = 0
+        self._forget_failures()
         self._poll_due = now + self._budget.address_change_cycle
         self._longest_wait = MIN_BACKOFF
 
@@ -39,15 +39,24 @@
         """Count a failed call; return the seconds after which to call again."""
         self.failures += 1
         longest = max(self._longest_wait, self._time_until_due(now))
-        jittered = min(self._exponential_backoff(), longest) * self._random.uniform(*BACKOFF_JITTER)
+        jittered = min(self._exponential_backoff, longest) * self._random.uniform(*BACKOFF_JITTER)
         backoff = max(MIN_BACKOFF, jittered)
+        self._double_backoff()
         self._poll_due = now + backoff + self._budget.poll_cycle
         return backoff
 
-    def _exponential_backoff(self) -> float:
-        """Half the overload window after one failure, doubled with each, up to the slow start's duration."""
-        doubled = self._settings.overload_window * 2.0 ** (self.failures - 2)
-        return min(self._settings.slow_start_duration, doubled)
+    def _forget_failures(self) -> None:
+        """Start again with half the overload window as the backoff."""
+        self.failures = 0  # consecutive
+        self._set_exponential_backoff(self._settings.overload_window / 2)
+
+    def _double_backoff(self) -> None:
+        """Double the backoff; a power of the number of failures would leave the range of a float."""
+        self._set_exponential_backoff(2 * self._exponential_backoff)
+
+    def _set_exponential_backoff(self, seconds: float) -> None:
+        """Set the backoff after the next failure, which is bounded by the slow start's duration."""
+        self._exponential_backoff = min(self._settings.slow_start_duration, seconds)
 
     def _time_until_due(self, now: float) -> float:
         """Seconds until the next call must have started, for the changes that it returns to be known in time.
--- a/tests/support/known_red.py
+++ b/tests/support/known_red.py
@@ -42,6 +42,6 @@
 
 def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
     """Print the list, so that no run hides it."""
-    if KNOWN_RED.exists():
+    if KNOWN_RED.exists() and KNOWN_RED.read_text().strip():
         terminalreporter.section("passed over, KNOWN-RED.txt")
         terminalreporter.write_line(KNOWN_RED.read_text().rstrip())
