Tests: one timer for each purpose, also after many changes of discovery's address

Cause: a change of address during an outage adds a chain of polls that lives until discovery answers; reproduced on a real process with 20 changes: 12.3 failed polls a second in place of 6.2 where updates are pushed, 3.1 in place of 0.4 where the router polls. They cover the other timers that are set and never cancelled as well: idle connections, queue deadline, hedged requests.

--- /dev/null
+++ b/tests/cache_router/decisions/test_single_timers.py
@@ -0,0 +1,103 @@
+"""At most one timer is in force for each purpose.
+
+What happened: on a router whose discovery had been changed 20 times during an outage, failed polls came 12 times a
+second in place of 6, and 60 times let them come 9.5 times a second in place of 0.5 where the router polls itself. A
+host cannot take a timer back. A change of address polled at once and left the timer of the old backoff standing; when
+it fired its poll failed, and set a timer of its own. So each change added a chain of polls that lived until discovery
+answered. Each of the other timers was set a second time in the same way.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import pytest
+
+from cache_router.decisions.actions import Action, Send, SubscribeToEndpoints
+from cache_router.decisions.events import AttemptStatus, DiscoveryAddressChanged, TimerFired, TimerKind
+from cache_router.decisions.idle_connections import CONNECTIONS_PER_PRICE
+from cache_router.simulator_wire import read_timer
+from tests.support.driver import Driver, DriverFactory
+from tests.support.router_scenarios import CACHE_ASIDE, FAILED_CALL, fleet, request_and_miss
+
+ADDRESS_CHANGES = 20
+
+
+def timer_count(driver: Driver, kind: TimerKind) -> int:
+    """How many timers of a kind are set and have not fired."""
+    timers = (read_timer(token) for _, token in driver.timers)
+    return sum(timer is not None and timer.kind is kind for timer in timers)
+
+
+def fire_all_timers(driver: Driver) -> list[Action]:
+    """Advance to each timer that is set, fire it, and return the actions of all."""
+    actions: list[Action] = []
+    for _ in range(len(driver.timers)):
+        due = driver.next_due_event()
+        assert due is not None
+        driver.now = max(driver.now, due.time)
+        driver.fire_timer(due)
+        actions += driver.last_actions
+    return actions
+
+
+def polls(actions: Sequence[Action]) -> int:
+    """How many polls of discovery the actions start."""
+    return sum(isinstance(action, SubscribeToEndpoints) for action in actions)
+
+
+@pytest.mark.parametrize("must_subscribe", [False, True])
+def test_changes_of_address_during_an_outage_leave_one_chain_of_polls(
+    make_driver: DriverFactory, must_subscribe: bool
+) -> None:
+    driver = make_driver(must_subscribe=must_subscribe)
+    driver.handle(FAILED_CALL)
+    for _ in range(ADDRESS_CHANGES):
+        driver.handle(DiscoveryAddressChanged())
+        driver.handle(FAILED_CALL)  # of the poll at the new address, which starts at once
+    assert polls(fire_all_timers(driver)) == 1
+
+
+@pytest.mark.parametrize("must_subscribe", [False, True])
+def test_timer_of_the_old_address_starts_no_poll_beside_that_of_the_new_one(
+    make_driver: DriverFactory, must_subscribe: bool
+) -> None:
+    driver = make_driver(must_subscribe=must_subscribe)
+    driver.handle(FAILED_CALL)
+    driver.handle(DiscoveryAddressChanged())  # starts a poll, which is in flight from now on
+    assert polls(fire_all_timers(driver)) == 0
+
+
+def test_answers_of_a_server_leave_one_timer_for_its_idle_connections(make_driver: DriverFactory) -> None:
+    """A timer that fires sets the next one, so that a second one would never end on a server in use."""
+    driver = make_driver(*fleet("a"), router_count=CONNECTIONS_PER_PRICE * 2)
+    for n in range(50):
+        driver.request(f"r{n}", finish=True)
+        assert timer_count(driver, TimerKind.IDLE_CONNECTIONS) <= 1, f"request {n}"
+        driver.advance(0.1)
+
+
+def test_request_that_waits_for_the_origin_has_one_timer_after_many_updates(
+    make_driver: DriverFactory,
+) -> None:
+    """Each update of the endpoint list takes the waiting requests out of the queue, and queues them again."""
+    driver = make_driver(*fleet("a", "o"), **CACHE_ASIDE)
+    driver.server("o").concurrency.limit = 0.0
+    request_and_miss(driver, "r")
+    for _ in range(30):
+        driver.update_endpoints(*fleet("a", "o"))
+    assert timer_count(driver, TimerKind.QUEUE_DEADLINE) == 1
+
+
+def test_retry_is_not_hedged_at_the_time_of_the_attempt_before_it(make_driver: DriverFactory) -> None:
+    """A hedged request sent too early is work for a server that is about to answer."""
+    driver = make_driver(*fleet("a", "b", "c"))
+    for n in range(30):  # so that the latency of each server is known
+        driver.request(f"known-{n}", key=f"k{n}", finish=True)
+    driver.request("r")
+    (first_hedge,) = (read_timer(token) for _, token in driver.timers if token.endswith(":r"))
+    driver.now += 0.1
+    assert driver.complete_attempt("r", AttemptStatus.RESET) is not None
+    assert first_hedge is not None
+    actions = driver.handle(TimerFired(first_hedge))
+    assert not any(isinstance(action, Send) for action in actions)
--- a/tests/support/router_process.py
+++ b/tests/support/router_process.py
@@ -79,6 +79,13 @@
     }
 
 
+async def read_log_until(process: asyncio.subprocess.Process, text: str) -> None:
+    """Read a process's log up to the next line that contains `text`."""
+    assert process.stderr is not None
+    while text not in (line := await process.stderr.readline()).decode():
+        assert line, f"the log ended without {text!r}"
+
+
 async def discard_log(log: asyncio.StreamReader | None) -> None:
     """Read a process's log to its end: once the pipe is full, the process would block."""
     while log is not None and await log.readline():
