Timers: one in force for each purpose, so that no change of address adds a chain of polls

Symptom: each change of discovery's address during an outage adds a chain of polls that lives until discovery answers. Cause: a host cannot take a timer back. A change of address polls at once, and the timer of the old backoff fires later; its poll fails and sets a timer of its own. Change: TimerSet numbers the timers of one kind; one that was replaced or cancelled is void when it fires. The same fault elsewhere: idle connections (a timer for each answer, each of which set the next), queue deadlines (one more for each endpoint update), hedged requests (a retry was hedged at the time of the attempt before it).

--- a/cache_router/decisions/attempt_sender.py
+++ b/cache_router/decisions/attempt_sender.py
@@ -3,12 +3,13 @@
 from dataclasses import dataclass, field
 
 from cache_router.decisions.action_buffer import ActionBuffer
-from cache_router.decisions.actions import Send, SetTimer
-from cache_router.decisions.events import AttemptStatus, Timer, TimerKind
+from cache_router.decisions.actions import Send
+from cache_router.decisions.events import AttemptStatus, TimerKind
 from cache_router.decisions.hedging import Hedging
 from cache_router.decisions.pending_request import Attempt, PendingRequest
 from cache_router.decisions.server import Server
 from cache_router.decisions.slow_start import SlowStart
+from cache_router.decisions.timers import TimerSet
 
 # shares of the latency objective; answers that are slower on average show too many attempts in flight
 CACHE_LATENCY_TARGET = 0.25
@@ -23,6 +24,10 @@
     slow_start: SlowStart
     actions: ActionBuffer
     in_flight: dict[tuple[str, int], Attempt] = field(default_factory=dict)  # by request id and number
+    timers: TimerSet = field(init=False)  # of hedged requests, by request id
+
+    def __post_init__(self) -> None:
+        self.timers = TimerSet(TimerKind.HEDGE, self.actions)
 
     def send(self, pending: PendingRequest, server: Server, now: float) -> None:
         """Send the request's next attempt to a server."""
@@ -35,7 +40,9 @@
         self.actions.add(Send(request_id, server.endpoint.name))
         hedge_delay = self.hedging.delay(pending, server, now)
         if hedge_delay is not None:
-            self.actions.add(SetTimer(hedge_delay, Timer(TimerKind.HEDGE, request_id)))
+            self.timers.set(request_id, hedge_delay, now)
+        else:
+            self.timers.cancel(request_id)
 
     def send_hedge(self, pending: PendingRequest, now: float) -> None:
         """Send a hedged request if its last attempt is still unanswered and nothing forbids another."""
--- a/cache_router/decisions/events.py
+++ b/cache_router/decisions/events.py
@@ -3,7 +3,7 @@
 Events are plain data. Times are seconds on one clock that only advances; the host owns that clock.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 from cache_router.endpoint import Endpoint
@@ -55,10 +55,14 @@
 
 @dataclass(slots=True, frozen=True)
 class Timer:
-    """Which timer is set or due; a host returns it unchanged in `TimerFired`."""
+    """Which timer is set or due; a host returns it unchanged in `TimerFired`.
+
+    Timers of one kind and subject are set for the same purpose, and compare equal.
+    """
 
     kind: TimerKind
     subject: str = ""
+    serial: int = field(default=0, compare=False)  # distinguishes it from others of the same purpose
 
 
 @dataclass(slots=True, frozen=True)
--- a/cache_router/decisions/idle_connection_closer.py
+++ b/cache_router/decisions/idle_connection_closer.py
@@ -1,13 +1,14 @@
 """Closes the idle connections to a server when keeping them has cost as much as it saves."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from cache_router.decisions.action_buffer import ActionBuffer
-from cache_router.decisions.actions import CloseIdleConnections, SetTimer
+from cache_router.decisions.actions import CloseIdleConnections
 from cache_router.decisions.endpoints import EndpointList
-from cache_router.decisions.events import Timer, TimerKind
+from cache_router.decisions.events import TimerKind
 from cache_router.decisions.idle_connections import IdleConnections
 from cache_router.decisions.server import Server
+from cache_router.decisions.timers import TimerSet
 from cache_router.settings import Settings
 
 
@@ -19,6 +20,10 @@
     endpoints: EndpointList
     idle_connections: IdleConnections
     actions: ActionBuffer
+    timers: TimerSet = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.timers = TimerSet(TimerKind.IDLE_CONNECTIONS, self.actions)
 
     def close_or_set_timer(self, server: Server, now: float) -> None:
         """Close a server's idle connections when they are due, else look again when they will be.
@@ -33,7 +38,7 @@
         if time_left < self.settings.clock_resolution:
             self.actions.add(CloseIdleConnections(name))
         elif time_left < self.settings.connection_idle_timeout:
-            self.actions.add(SetTimer(time_left, Timer(TimerKind.IDLE_CONNECTIONS, name)))
+            self.timers.set_unless_due_earlier(name, time_left, now)
 
     def on_timer(self, server_name: str, now: float) -> None:
         """The timer of a server is due; a server that has left the list needs nothing."""
--- a/cache_router/decisions/origin_scheduler.py
+++ b/cache_router/decisions/origin_scheduler.py
@@ -3,18 +3,18 @@
 A request that no server at all can take waits in the same queue, until a server is listed.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from cache_router.decisions.action_buffer import ActionBuffer
-from cache_router.decisions.actions import SetTimer
 from cache_router.decisions.attempt_sender import AttemptSender
 from cache_router.decisions.endpoints import EndpointList
-from cache_router.decisions.events import Timer, TimerKind
+from cache_router.decisions.events import TimerKind
 from cache_router.decisions.open_requests import OpenRequests
 from cache_router.decisions.origin_queue import OriginQueue, latest_start
 from cache_router.decisions.pending_request import PendingRequest
 from cache_router.decisions.retry_policy import RetryPolicy
 from cache_router.decisions.server import Server
+from cache_router.decisions.timers import TimerSet
 from cache_router.settings import Settings
 
 
@@ -29,6 +29,10 @@
     open_requests: OpenRequests
     sender: AttemptSender
     actions: ActionBuffer
+    timers: TimerSet = field(init=False)  # of queued requests, by request id
+
+    def __post_init__(self) -> None:
+        self.timers = TimerSet(TimerKind.QUEUE_DEADLINE, self.actions)
 
     def enqueue(self, pending: PendingRequest, now: float) -> None:
         """Queue a request, and send it at once if the origin has capacity for it."""
@@ -38,21 +42,20 @@
 
     def set_deadline_timer(self, pending: PendingRequest, now: float) -> None:
         """Set the timer by which a queued request is answered even if no other event reaches the router."""
-        latest = latest_start(pending, self.endpoints.least_loaded_origin())
-        timer = Timer(TimerKind.QUEUE_DEADLINE, pending.request.request_id)
-        self.actions.add(SetTimer(max(0.0, latest - now), timer))
+        delay = self._time_to_latest_start(pending, now)
+        self.timers.set_unless_due_earlier(pending.request.request_id, delay, now)
 
     def on_deadline_timer(self, request_id: str, now: float) -> None:
         """End a queued request that is too late, or set its timer again: the origin may be faster by now."""
         pending = self.open_requests.find(request_id)
         if pending is None or not pending.is_queued:
             return
-        latest = latest_start(pending, self.endpoints.least_loaded_origin())
+        delay = self._time_to_latest_start(pending, now)
         # rounding may fire a timer too early, by up to half a step of the clock
-        if now >= latest - self.settings.clock_resolution / 2:
+        if delay <= self.settings.clock_resolution / 2:
             self.open_requests.reject_or_fail(pending)
         else:
-            self.set_deadline_timer(pending, now)
+            self.timers.set(request_id, delay, now)
 
     def serve(self, now: float) -> None:
         """Send queued requests while the origin has capacity, then end those that are too late."""
@@ -63,6 +66,11 @@
             self.open_requests.reject_or_fail(pending)
         self.queue.drop_void_entries()
 
+    def _time_to_latest_start(self, pending: PendingRequest, now: float) -> float:
+        """Seconds until it is too late to send a queued request."""
+        latest = latest_start(pending, self.endpoints.least_loaded_origin())
+        return max(0.0, latest - now)
+
     def _send_while_capacity_lasts(self, now: float) -> None:
         while (origin := self.endpoints.least_loaded_origin()) is not None:
             if not origin.concurrency.has_capacity():
--- a/cache_router/decisions/router.py
+++ b/cache_router/decisions/router.py
@@ -80,6 +80,8 @@
         self.queue = OriginQueue()
         self.origin_scheduler = self._create_origin_scheduler()
         self.requests = self._create_request_lifecycle()
+        timed_parts = self.subscription, self.idle_connection_closer, self.sender, self.origin_scheduler
+        self._timers = {part.timers.kind: part.timers for part in timed_parts}
 
     @property
     def pending(self) -> dict[str, PendingRequest]:
@@ -114,6 +116,8 @@
         return actions
 
     def _on_timer(self, timer: Timer, now: float) -> None:
+        if not self._timers[timer.kind].take(timer):
+            return
         if timer.kind is TimerKind.ENDPOINT_POLL:
             self.subscription.on_poll_timer()
         elif timer.kind is TimerKind.IDLE_CONNECTIONS:
--- a/cache_router/decisions/subscription.py
+++ b/cache_router/decisions/subscription.py
@@ -1,13 +1,16 @@
 """The subscription to the endpoint list: when the router asks discovery for the list."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from cache_router.decisions.action_buffer import ActionBuffer
-from cache_router.decisions.actions import LogMessage, SetTimer, SubscribeToEndpoints
+from cache_router.decisions.actions import LogMessage, SubscribeToEndpoints
 from cache_router.decisions.endpoint_polling import EndpointPoller
-from cache_router.decisions.events import Timer, TimerKind
+from cache_router.decisions.events import TimerKind
+from cache_router.decisions.timers import TimerSet
 from cache_router.settings import Settings
 
+POLL = ""  # subject of the timer of the next poll: there is one subscription
+
 
 @dataclass(slots=True)
 class EndpointSubscription:
@@ -16,6 +19,10 @@
     settings: Settings
     poller: EndpointPoller
     actions: ActionBuffer
+    timers: TimerSet = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.timers = TimerSet(TimerKind.ENDPOINT_POLL, self.actions)
 
     def on_update(self, is_cached: bool, now: float) -> None:
         """An update arrived; a cached list comes before the first subscription."""
@@ -26,12 +33,16 @@
     def on_failure(self, discovery_address: str, now: float) -> None:
         """A call to discovery failed: poll again after a backoff."""
         backoff = self.poller.on_failure(now)
-        self.actions.add(SetTimer(backoff, Timer(TimerKind.ENDPOINT_POLL)))
+        self.timers.set(POLL, backoff, now)
         subject = f"discovery {discovery_address}" if discovery_address else "discovery"
         self.actions.add(LogMessage(f"{subject}: {self.poller.failures} consecutive failures"))
 
     def on_address_changed(self, now: float) -> None:
-        """Discovery has another address: subscribe there at once."""
+        """Discovery has another address: subscribe there at once.
+
+        The host does so itself where updates are pushed. Either way no timer may start a second poll.
+        """
+        self.timers.cancel(POLL)
         self.poller.on_address_changed(now)
         self._subscribe_unless_pushed()
 
--- a/cache_router/simulator_wire.py
+++ b/cache_router/simulator_wire.py
@@ -140,10 +140,11 @@
 
 def read_timer(context: str) -> Timer | None:
     """A timer by the context that `write_timer` gave to the wire; None for any other context."""
-    kind, _, subject = context.partition(":")
-    if kind not in TIMER_KINDS:
+    kind, _, numbered_subject = context.partition(":")
+    serial, _, subject = numbered_subject.partition(":")
+    if kind not in TIMER_KINDS or not serial.isdecimal():
         return None
-    return Timer(TIMER_KINDS[kind], subject)
+    return Timer(TIMER_KINDS[kind], subject, int(serial))
 
 
 def read_timer_fired(message: TimerMessage) -> TimerFired | None:
@@ -196,8 +197,8 @@
 
 
 def write_timer(timer: Timer) -> str:
-    """A timer as a context of the wire: its kind and its subject."""
-    return f"{timer.kind.value}:{timer.subject}"
+    """A timer as a context of the wire: its kind, its serial number and its subject."""
+    return f"{timer.kind.value}:{timer.serial}:{timer.subject}"
 
 
 def write_set_timer(action: SetTimer) -> TimerCommand:
