--- a/tests/support/router_process.py
+++ b/tests/support/router_process.py
@@ -43,9 +43,16 @@
 
 @asynccontextmanager
 async def router_process(
-    config: dict[str, Any], path: Path, descriptors: int | None = None
+    config: dict[str, Any],
+    path: Path,
+    descriptors: int | None = None,
+    *,
+    config_path: Path | None = None,
 ) -> AsyncIterator[asyncio.subprocess.Process]:
-    """Run the program with a configuration written to `path`, and a limit on its descriptors if given."""
+    """Run the program with a configuration written to `path`, and a limit on its descriptors if given.
+
+    `config_path` is a file that the program reads instead.
+    """
     path.write_bytes(orjson.dumps(config))
 
     def limit_descriptors() -> None:
@@ -56,7 +63,7 @@
         sys.executable,
         "-m",
         "cache_router",
-        env={**os.environ, "RELAY_CONFIG": str(path)},
+        env={**os.environ, "RELAY_CONFIG": str(config_path or path)},
         stderr=asyncio.subprocess.PIPE,
         preexec_fn=limit_descriptors,
     )
