Signals: held back from the first line of the program, and again after a shutdown

Symptom: SIGHUP up to 0.5 s after the start ends the process by signal 1; signals during a graceful shutdown end it by the signal, where status 0 is due. Cause: the event loop's handlers stand only after imports, configuration and bind, and the loop takes them back when it is closed, before the interpreter has finished. Outside of that time signals have their default effect. Change: __main__ blocks SIGHUP, SIGTERM and SIGINT before it imports the program (which moves to program.py; the package imports Router when it is used). The server releases them once its handlers stand: a pending SIGHUP then reads the configuration again, a pending SIGTERM ends before anyone can connect. After the shutdown they are blocked to the end.

--- a/cache_router/__init__.py
+++ b/cache_router/__init__.py
@@ -1,5 +1,23 @@
 """A router in front of a fleet of cache servers: its decisions and its network code."""
 
-from cache_router.decisions.router import Router
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from cache_router.decisions.router import Router
 
 __all__ = ["Router"]
+
+
+def __getattr__(name: str) -> object:
+    """Import `Router` when it is first used: the program holds signals back before it imports anything else.
+
+    Raises:
+        AttributeError: the package has no attribute of this name.
+    """
+    if name != "Router":
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    from cache_router.decisions.router import Router  # noqa: PLC0415  # the purpose of this function
+
+    return Router
--- /dev/null
+++ b/cache_router/program.py
@@ -0,0 +1,36 @@
+"""The program of one router: its configuration, its log, its exit status."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import sys
+
+from cache_router.config import Config, ConfigError, config_path, load_config
+from cache_router.process_signals import hold_signals
+from cache_router.server import serve
+
+UNUSABLE_CONFIG_STATUS = 2  # exit status of the process
+LOG_FORMAT = "%(asctime)s %(levelname)s %(name)s %(message)s"
+
+
+def main() -> int:
+    """Run one router with the configuration file that the environment names; returns the exit status."""
+    logging.basicConfig(level=logging.INFO, format=LOG_FORMAT)
+    try:
+        path = config_path(os.environ)
+        asyncio.run(_serve_until_shutdown(load_config(path), path))
+    except ConfigError as error:
+        print(f"cache_router: {error}", file=sys.stderr)
+        return UNUSABLE_CONFIG_STATUS
+    return 0
+
+
+async def _serve_until_shutdown(config: Config, path: str) -> None:
+    """Serve; after a shutdown, no further signal may change the status of the process.
+
+    The event loop takes its handlers back when it is closed, and the interpreter has still to finish then.
+    """
+    await serve(config, path)
+    hold_signals()
--- a/cache_router/server.py
+++ b/cache_router/server.py
@@ -16,6 +16,7 @@
 from cache_router.net.dispatcher import Dispatcher
 from cache_router.net.listener import Listener
 from cache_router.net.origin_connection import OriginConnection
+from cache_router.process_signals import release_signals
 from cache_router.shutdown_schedule import ShutdownSchedule
 
 # seconds to wait for the first endpoint list before serving from the cached one: an agent on the same machine
@@ -68,6 +69,8 @@
             self._handle_signals()
             if self._updates_are_pushed:
                 await self._wait_for_first_list()
+            if self._terminated.is_set():
+                return  # no client has connected yet
             self._listener.start()
             log.info("listening on %s", self._listener.address)
             await self._terminated.wait()
@@ -92,10 +95,12 @@
             self._subscribe()
 
     def _handle_signals(self) -> None:
+        """Handle signals, first those that were held back since the start of the process."""
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._terminated.set)
+        release_signals()
 
     async def _wait_for_first_list(self) -> None:
         """Wait until the agent has answered, for at most `FIRST_LIST_TIMEOUT`.
--- a/tests/cache_router/test_server.py
+++ b/tests/cache_router/test_server.py
@@ -17,8 +17,8 @@
 import pytest
 
 from cache_router import server
-from cache_router.__main__ import main
 from cache_router.config import read_config
+from cache_router.program import main
 from tests.support.coroutine_tests import DEFAULT_TIME_LIMIT
 from tests.support.endpoint_lists import ENDPOINT_ENTRY, encode_endpoint_list
 from tests.support.loopback import HIT, Clients, Peer, format_address, http, read
--- a/tests/project/test_configuration_page.py
+++ b/tests/project/test_configuration_page.py
@@ -13,7 +13,7 @@
 import orjson
 import pytest
 
-from cache_router import __main__ as program
+from cache_router import program
 from cache_router.config import Config, ConfigError, read_config
 from cache_router.endpoint import Endpoint
 from cache_router.net.endpoint_list_reader import EndpointListMessage
