Extreme values: weights are bounded, and one answer moves no mean without bound

Symptoms: a list with one weight of 1e308 never comes into force; one load report with svc_ms=1e300 lengthens every server's backoff (11.3 s instead of 0.26 s) for 3,066 answers; an attempt that hangs for ten minutes makes the router reject nearly everything; a window of 0 s (overloadFor) divides by zero at the first good answer. Cause: 2.0 ** ceil(log2(weight)) leaves the range of a float; the baseline service time and the queueing latency took samples of any size; the window was not bounded below, as the slow start's duration is. Change: a weight is bounded to 1e-6 to 1e6 for its entry, with one line that names it; a sample of the baseline is at most four times the baseline, the first one at most the shortest latency objective; a latency counts as the longest client timeout at most; the window is at least 0.001 s. Endpoint updates are applied before they count as a successful call.

--- a/cache_router/decisions/action_buffer.py
+++ b/cache_router/decisions/action_buffer.py
@@ -16,14 +16,19 @@
     add: Callable[[Action], None]
 
     def __init__(self) -> None:
+        self._actions: list[Action] = []
         self.start_event()
 
+    def decided(self) -> list[Action]:
+        """The actions so far for the event being handled, or handled last."""
+        return self._actions
+
     def start_event(self) -> list[Action]:
         """Start the list for the next event, and return it; it fills while the event is handled.
 
-        A list is never used twice: the host still has the one of the event before. Actions of an event whose
-        handling failed midway are dropped with their list.
+        A list is never used twice: the host still has the one of the event before.
         """
         actions: list[Action] = []
+        self._actions = actions
         self.add = actions.append
         return actions
--- a/cache_router/decisions/overload_backoff.py
+++ b/cache_router/decisions/overload_backoff.py
@@ -9,6 +9,7 @@
 import random
 from dataclasses import dataclass
 
+from cache_router.decisions.concurrency_limit import MAX_SAMPLE_FACTOR
 from cache_router.decisions.events import AttemptCompleted, AttemptStatus
 from cache_router.decisions.fleet_health import SMOOTHING
 from cache_router.settings import Settings
@@ -43,13 +44,22 @@
         report = event.load_report
         if report is not None:
             if report.queue_length < 1:
-                self.baseline_service_time += SMOOTHING * (report.service_time - self.baseline_service_time)
+                self._update_baseline(report.service_time)
             delay = report.service_time * (1 + report.queue_length / SERVER_CONCURRENCY)
         else:
             delay = event.latency if event.status is AttemptStatus.TIMEOUT else 0.0
         if is_cache and delay > OVERLOAD_SHARE * self.shortest_latency_objective:
             state.back_off_until(now + self._backoff(delay))
 
+    def _update_baseline(self, service_time: float) -> None:
+        """Take a sample, at most a multiple of the baseline: one wrong report must not move it far.
+
+        The first sample is bounded by the shortest latency objective, within which no slower server answers.
+        """
+        baseline = self.baseline_service_time
+        longest = MAX_SAMPLE_FACTOR * baseline if baseline else self.shortest_latency_objective
+        self.baseline_service_time += SMOOTHING * (min(service_time, longest) - baseline)
+
     def _backoff(self, delay: float) -> float:
         """Seconds to back off from a server whose answers take `delay` seconds.
 
--- a/cache_router/decisions/router.py
+++ b/cache_router/decisions/router.py
@@ -53,7 +53,8 @@
         self._actions = ActionBuffer()
         # state of the servers
         self.endpoints = EndpointList(settings)
-        self.health = FleetHealth()
+        longest_timeout = max(c.client_timeout for c in settings.classes.values())
+        self.health = FleetHealth(longest_timeout)
         self.slow_start = SlowStart(settings, generator, now)
         self.outliers = OutlierDetector(settings.slow_start_duration, generator)
         self.overload = OverloadBackoff(settings, shortest_objective, generator)
@@ -115,6 +116,13 @@
             self.requests.on_response_started(event.request_id)
         return actions
 
+    def decided_actions(self) -> list[Action]:
+        """The actions of the last event, also if an exception ended its handling: the host carries them out.
+
+        The state of the router has them already. An attempt that it counts as in flight must be sent.
+        """
+        return self._actions.decided()
+
     def _on_timer(self, timer: Timer, now: float) -> None:
         if not self._timers[timer.kind].take(timer):
             return
@@ -132,9 +140,12 @@
         if update.kind is EndpointUpdateKind.FAILED:
             self.subscription.on_failure(update.discovery_address, now)
             return
+        if self.endpoints.apply(update):
+            self._on_endpoints_changed(now)
+        # last, so that an update that cannot be applied is no success of its call
         self.subscription.on_update(update.kind is EndpointUpdateKind.CACHED, now)
-        if not self.endpoints.apply(update):
-            return
+
+    def _on_endpoints_changed(self, now: float) -> None:
         caches = self.endpoints.caches
         self.slow_start.on_endpoint_update(caches, self.endpoints.total_size)
         self.outliers.on_endpoint_update(server.failures for server in caches)
--- a/cache_router/endpoint.py
+++ b/cache_router/endpoint.py
@@ -6,9 +6,22 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from enum import Enum
 
+# Weights are compared with each other. Beyond these bounds they are errors, and products and powers of them
+# would leave the range of a float.
+MIN_WEIGHT = 1e-6
+MAX_WEIGHT = 1e6
+
+
+def bounded_weight(weight: float) -> float:
+    """A weight within the bounds; 0, and what is less, means that it is not known."""
+    if not weight > 0 or math.isnan(weight):
+        return 0.0
+    return min(MAX_WEIGHT, max(MIN_WEIGHT, weight))
+
 
 class EndpointState(Enum):
     """The life cycle of a listed server."""
--- a/cache_router/net/endpoint_list_reader.py
+++ b/cache_router/net/endpoint_list_reader.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import TypeVar
 
 from cache_router.decisions.events import EndpointUpdateKind
-from cache_router.endpoint import Endpoint, EndpointState
+from cache_router.endpoint import Endpoint, EndpointState, bounded_weight
 from cache_router.errors import RouterError
 from cache_router.net.address import AddressError, parse_address
 from cache_router.net.endpoint_table import NetworkEndpoint
@@ -19,6 +20,7 @@
     "terminated": EndpointState.REMOVED,
 }
 MAX_QUOTED = 40  # characters of a malformed value that an error quotes
+log = logging.getLogger(__name__)
 
 FieldType = TypeVar("FieldType")
 
@@ -70,7 +72,7 @@
         kind=_read_field(fields, "type", str, prefix),
         zone=_read_field(fields, "zone", str, prefix),
         cell=_read_field(fields, "group", int, prefix),
-        weight=max(0.0, _read_number(fields, "weight", prefix)),
+        weight=_read_weight(fields, prefix),
         # Unix time, like the router's clock
         started_at=_read_number(fields, "since_ms", prefix) / 1000,
     )
@@ -84,6 +86,15 @@
     return STATES[status]
 
 
+def _read_weight(fields: Mapping[str, object], prefix: str) -> float:
+    """The weight of an entry; one out of range is bounded, so that the rest of the list comes into force."""
+    given = _read_number(fields, "weight", prefix)
+    weight = bounded_weight(given)
+    if given not in (weight, 0):
+        log.warning("endpoint %.40s: weight %g is out of range, taken as %g", fields["name"], given, weight)
+    return weight
+
+
 def _read_address(fields: Mapping[str, object], prefix: str) -> str:
     address = _read_field(fields, "address", str, prefix)
     if not _is_connectable(address):
--- a/cache_router/settings_reader.py
+++ b/cache_router/settings_reader.py
@@ -53,7 +53,7 @@
         slow_start_initial_share=rules.number("coldFrom", 0.3),
         slow_start_duration=max(MIN_DIVISOR, rules.number("rampTime", 10.0)),
         overload_multiple=rules.number("fallMultiple", 2.0),
-        overload_window=rules.number("overloadFor", 1.0),
+        overload_window=max(MIN_DIVISOR, rules.number("overloadFor", 1.0)),
         drain_grace_period=rules.number("stopSendingWithin", 0.5),
     )
 
--- a/cache_router/simulator_wire.py
+++ b/cache_router/simulator_wire.py
@@ -32,7 +32,7 @@
     TimerFired,
     TimerKind,
 )
-from cache_router.endpoint import Endpoint, EndpointState
+from cache_router.endpoint import Endpoint, EndpointState, bounded_weight
 from cache_router.load_report import read_load
 from cache_router.simulator_messages import (
     CancelCommand,
@@ -89,7 +89,7 @@
         kind=line.get("generationHw") or "",
         zone=line.get("site") or "",
         cell=line.get("stripe") or 0,
-        weight=max(0.0, line.get("weight") or 0.0),
+        weight=bounded_weight(line.get("weight") or 0.0),
         started_at=line.get("since") or 0.0,
     )
 
--- a/tests/cache_router/net/test_endpoint_list_reader.py
+++ b/tests/cache_router/net/test_endpoint_list_reader.py
@@ -7,7 +7,7 @@
 import orjson
 import pytest
 
-from cache_router.endpoint import Endpoint, EndpointState
+from cache_router.endpoint import MAX_WEIGHT, MIN_WEIGHT, Endpoint, EndpointState
 from cache_router.net.endpoint_list_reader import EndpointListError, read_endpoint_list
 from tests.support.endpoint_lists import ENDPOINT_ENTRY, encode_endpoint_list
 
@@ -76,3 +76,17 @@
     message = {"index": 1, "snapshot": False, "endpoints": [{**ENDPOINT_ENTRY, "weight": -1.5}]}
     (endpoint,) = read_endpoint_list(message).endpoints
     assert endpoint.entry.weight == 0
+
+
+@pytest.mark.parametrize(
+    ("given", "taken"), [(1e308, MAX_WEIGHT), (5e-324, MIN_WEIGHT), (10**18, MAX_WEIGHT)]
+)
+def test_weight_out_of_range_is_bounded_and_named_in_one_line(
+    given: float, taken: float, caplog: pytest.LogCaptureFixture
+) -> None:
+    """A power of it exceeded the range of a float: no list with this entry ever came into force."""
+    entries = [ENDPOINT_ENTRY, {**ENDPOINT_ENTRY, "name": "s-2", "weight": given}]
+    update = read_endpoint_list(orjson.loads(encode_endpoint_list(7, True, *entries)))
+    assert [endpoint.entry.weight for endpoint in update.endpoints] == [1.5, taken]
+    (line,) = caplog.messages
+    assert line == f"endpoint s-2: weight {given:g} is out of range, taken as {taken:g}"
