Faults: an exception of the decisions costs one event, and no answer, watch or update

Symptom: an exception while an event is handled ends a task or a callback; the watch is never renewed, later events wait for the next one that is posted, and requests have no answer. Cause: Dispatcher.post let the exception pass to whoever posted the event, and dropped the actions decided before it. Change: the dispatcher logs the fault once with its traceback, carries out what was decided and makes up for the event (event_recovery.py): a request without an attempt in flight is answered as failed, the watch is renewed, an update that failed is requested as a whole; a request that is open at its deadline is answered in any case. The same elsewhere: the outcome of an attempt is posted although its answer cannot be written, an attempt ends whatever its connection raises, accepting and the check for overdue connections continue. Failed polls are logged at the 1st, 2nd, 4th, ... failure, and so is their end: a long outage wrote 12 lines a second.

--- a/cache_router/decisions/subscription.py
+++ b/cache_router/decisions/subscription.py
@@ -6,6 +6,7 @@
 from cache_router.decisions.actions import LogMessage, SubscribeToEndpoints
 from cache_router.decisions.endpoint_polling import EndpointPoller
 from cache_router.decisions.events import TimerKind
+from cache_router.decisions.repeated_events import is_logged
 from cache_router.decisions.timers import TimerSet
 from cache_router.settings import Settings
 
@@ -34,8 +35,9 @@
         """A call to discovery failed: poll again after a backoff."""
         backoff = self.poller.on_failure(now)
         self.timers.set(POLL, backoff, now)
-        subject = f"discovery {discovery_address}" if discovery_address else "discovery"
-        self.actions.add(LogMessage(f"{subject}: {self.poller.failures} consecutive failures"))
+        if is_logged(self.poller.failures):
+            subject = f"discovery {discovery_address}" if discovery_address else "discovery"
+            self.actions.add(LogMessage(f"{subject}: {self.poller.failures} consecutive failures"))
 
     def on_address_changed(self, now: float) -> None:
         """Discovery has another address: subscribe there at once.
--- a/cache_router/net/attempt_runner.py
+++ b/cache_router/net/attempt_runner.py
@@ -60,6 +60,21 @@
         timeout = action.timeout if action.timeout is not None and action.timeout < time_left else None
         endpoint = self._endpoints.get(action.server)
         attempt = self._add_attempt(request, endpoint, time_left if timeout is None else timeout, now)
+        try:
+            self._start(attempt, request, endpoint, timeout)
+        except Exception:
+            # the decision module waits for the outcome of each attempt
+            log.exception("attempt of request %s at %s can't be started", action.request_id, action.server)
+            self._abandon(request, attempt.number, AttemptStatus.ERROR)
+
+    def _start(
+        self,
+        attempt: UpstreamAttempt,
+        request: RequestInFlight,
+        endpoint: NetworkEndpoint | None,
+        timeout: float | None,
+    ) -> None:
+        """Start an attempt of a request, with a timeout of its own if the decision module gave one."""
         status = self._precondition(request, endpoint)
         if attempt.number >= self._max_attempts:
             status = AttemptStatus.NOT_SENT
@@ -129,11 +144,19 @@
         if attempt is None:
             return
         status, value = response.status, response.value
-        if status is AttemptStatus.OK:
-            self._requests.respond(request.request_id, b"$%d\r\n%b\r\n" % (len(value), value))
+        try:
+            if status is AttemptStatus.OK:
+                self._requests.respond(request.request_id, b"$%d\r\n%b\r\n" % (len(value), value))
+        finally:
+            self._post_outcome(request, attempt, response)
+
+    def _post_outcome(
+        self, request: RequestInFlight, attempt: UpstreamAttempt, response: UpstreamResponse
+    ) -> None:
         latency = self._clock.now() - attempt.started_at
         report = response.load_report
         load_report = parse_load_report(report, self._load_report_fields) if report else None
-        self._post(
-            AttemptCompleted(request.request_id, number, status, request.is_closed, latency, load_report)
+        outcome = AttemptCompleted(
+            request.request_id, attempt.number, response.status, request.is_closed, latency, load_report
         )
+        self._post(outcome)
--- a/cache_router/net/connection_pool.py
+++ b/cache_router/net/connection_pool.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import errno
+import logging
 from collections.abc import Callable
 
 from cache_router.decisions.events import AttemptStatus
@@ -18,6 +19,7 @@
 # for the response to the next request (19 were seen, 1.1 to 3.2 ms after the first).
 REUSE_DELAY = 0.01
 DESCRIPTORS_EXHAUSTED = (errno.EMFILE, errno.ENFILE)
+log = logging.getLogger(__name__)
 
 
 class ConnectionPool:
@@ -89,7 +91,17 @@
             attempt.finish(UpstreamResponse(AttemptStatus.NOT_SENT))
 
     async def _connect(self, attempt: UpstreamAttempt, address: str, incarnation: object) -> None:
-        """Open a connection for an attempt, and send the attempt if its precondition still holds."""
+        """Open a connection for an attempt, and send the attempt if its precondition still holds.
+
+        Whatever happens, the attempt ends: the router waits for that.
+        """
+        try:
+            await self._connect_and_send(attempt, address, incarnation)
+        except Exception:
+            log.exception("connection to %s", address)
+            attempt.finish(UpstreamResponse(AttemptStatus.ERROR))
+
+    async def _connect_and_send(self, attempt: UpstreamAttempt, address: str, incarnation: object) -> None:
         try:
             async with asyncio.timeout(self._connect_timeout):
                 _, connection = await asyncio.get_running_loop().create_connection(
--- a/cache_router/net/discovery.py
+++ b/cache_router/net/discovery.py
@@ -11,9 +11,10 @@
 import orjson
 
 from cache_router.decisions.events import EndpointUpdateKind
+from cache_router.decisions.repeated_events import is_logged
 from cache_router.net.address import parse_address
 from cache_router.net.endpoint_list_reader import EndpointListError, EndpointListMessage, read_endpoint_list
-from cache_router.net.endpoint_table import NetworkEndpoint
+from cache_router.net.endpoint_table import EndpointUpdateError, NetworkEndpoint
 from cache_router.net.http import HttpClient, HttpError, Response
 from cache_router.settings import WatchBudget
 
@@ -27,6 +28,8 @@
 EMPTY_UPDATE_PAUSE = 0.05
 # what an unreachable or faulty discovery causes; any other exception is a fault of this program
 EXPECTED_ERRORS = (OSError, HttpError, EndpointListError, orjson.JSONDecodeError)
+# what is logged without its traceback: an update that cannot be applied is logged where it fails
+LOGGED_IN_ONE_LINE = (*EXPECTED_ERRORS, EndpointUpdateError)
 log = logging.getLogger(__name__)
 
 UpdateCallback = Callable[[EndpointUpdateKind, list[NetworkEndpoint]], None]
@@ -72,6 +75,7 @@
         self._budget = budget or WatchBudget()
         self._first_update_received = asyncio.Event()
         self._watch_task: asyncio.Task[None] | None = None
+        self._failures = 0  # consecutive, at this address
         # Whether the next poll of an agent asks not to wait. A discovery that all routers poll might let a
         # second poll wait for its turn.
         self._poll_at_once = pushed
@@ -92,6 +96,7 @@
         self.address = address
         self.index = None
         self._watch_task = None
+        self._failures = 0
 
     def close(self) -> None:
         """Cancel the watch; it makes no further calls to `on_update` and `on_failure`."""
@@ -134,16 +139,30 @@
         self._on_failure(self.address)
 
     def _apply(self, message: EndpointListMessage) -> None:
-        """Record the index of an update and pass the update on."""
-        self.index = message.index
+        """Pass an update on and record its index; after one that cannot be applied, poll for all of it."""
+        self.index = None
         self._poll_at_once = False
         self._on_update(message.update_kind, message.endpoints)
+        self.index = message.index
+        if self._failures:
+            log.info("discovery %s: list received after %d failures", self.address, self._failures)
+            self._failures = 0
         self._first_update_received.set()
 
     def _log_failure(self, error: Exception, waited: float) -> None:
         """Log why a watch ended, `waited` seconds after the start of its last poll."""
-        level = logging.WARNING if isinstance(error, EXPECTED_ERRORS) else logging.ERROR
-        log.log(level, "discovery %s: watch ended after %.3f s: %.200r", self.address, waited, error)
+        self._failures += 1
+        is_expected = isinstance(error, LOGGED_IN_ONE_LINE)
+        if is_expected and not is_logged(self._failures):
+            return
+        log.log(
+            logging.WARNING if is_expected else logging.ERROR,
+            "discovery %s: watch ended after %.3f s: %.200r",
+            self.address,
+            waited,
+            error,
+            exc_info=None if is_expected else error,
+        )
 
     async def _poll(self) -> EndpointListMessage:
         """Make the next request and read the response.
--- a/cache_router/net/dispatcher.py
+++ b/cache_router/net/dispatcher.py
@@ -45,7 +45,8 @@
     CommandError,
 )
 from cache_router.net.connection_pool import ConnectionPool
-from cache_router.net.endpoint_table import EndpointTable, NetworkEndpoint
+from cache_router.net.endpoint_table import EndpointTable, EndpointUpdateError, NetworkEndpoint
+from cache_router.net.event_recovery import FAILED_REPLY, EventRecovery
 from cache_router.net.request_table import RequestInFlight, RequestTable
 from cache_router.settings import Idempotency, RequestClass, Settings
 
@@ -110,23 +111,48 @@
         )
         self._events: deque[Event] = deque()
         self._is_handling = False
+        self._recovery = EventRecovery(settings, self.requests, subscribe, self.post)
 
     def post(self, event: Event) -> None:
         """Pass an event to the decision module, after the events whose actions are being carried out."""
         self._events.append(event)
-        if self._is_handling:
-            return
+        if not self._is_handling:
+            self._handle_events()
+
+    def _handle_events(self) -> None:
+        """Handle the events that are posted, also those that are posted meanwhile."""
         self._is_handling = True
         try:
             while self._events:
-                for action in self.router.handle(self._clock.now(), self._events.popleft()):
-                    self._execute(action)
+                self._handle(self._events.popleft())
         finally:
             self._is_handling = False
             # Not earlier: the decision module may still send for a request that it has just ended, and must
             # be notified that this attempt was not sent.
             self.requests.release_finished()
 
+    def _handle(self, event: Event) -> None:
+        """Hand one event to the decision module, and carry out its actions.
+
+        A fault of either is logged once. The actions that were decided before it are carried out, and what
+        the router owes for the event is made up for, so that the fault costs no more than this event.
+        """
+        try:
+            actions = self.router.handle(self._clock.now(), event)
+        except Exception:
+            log.exception("event %s can't be handled", type(event).__name__)
+            self._execute_all(self.router.decided_actions())
+            self._recovery.make_up_for(event)
+        else:
+            self._execute_all(actions)
+
+    def _execute_all(self, actions: list[Action]) -> None:
+        for action in actions:
+            try:
+                self._execute(action)
+            except Exception:
+                log.exception("action %s can't be carried out", type(action).__name__)
+
     def _execute(self, action: Action) -> None:
         match action:
             case Send():
@@ -134,7 +160,7 @@
             case Reject():
                 self._reject(action)
             case Fail():
-                self.requests.respond(action.request_id, b"-ERR failed\r\n")
+                self.requests.respond(action.request_id, FAILED_REPLY)
             case Cancel():
                 self._attempts.cancel(action)
             case CloseIdleConnections():
@@ -162,9 +188,16 @@
         self.post(EndpointUpdate(EndpointUpdateKind.FAILED, discovery_address=discovery_address))
 
     def on_endpoint_update(self, kind: EndpointUpdateKind, endpoints: list[NetworkEndpoint]) -> None:
-        """Apply a complete endpoint list, or the changed entries of one."""
+        """Apply a complete endpoint list, or the changed entries of one.
+
+        Raises:
+            EndpointUpdateError: The list is not in force, and must be received as a whole.
+        """
         self.endpoints.apply(kind, endpoints)
-        self.post(EndpointUpdate(kind, tuple(e.entry for e in endpoints)))
+        update = EndpointUpdate(kind, tuple(e.entry for e in endpoints))
+        self.post(update)
+        if self._recovery.has_failed(update):
+            raise EndpointUpdateError("the endpoint list can't be applied")
 
     # Requests
 
@@ -219,7 +252,10 @@
         self.post(ShutdownStarted(seconds))
 
     def _on_deadline(self, request: RequestInFlight) -> None:
+        """Time out the attempts of a request; if the decision module leaves it open, it has failed."""
         self._attempts.time_out_all(request)
+        if not request.is_closed:
+            self._recovery.fail_after_grace(request.request_id)
 
     def _reject(self, action: Reject) -> None:
         """Answer that a request was not carried out, with its Retry-After in milliseconds."""
--- a/cache_router/net/endpoint_table.py
+++ b/cache_router/net/endpoint_table.py
@@ -7,9 +7,14 @@
 
 from cache_router.decisions.events import EndpointUpdateKind
 from cache_router.endpoint import Endpoint, EndpointState
+from cache_router.errors import RouterError
 from cache_router.net.connection_pool import ConnectionPool
 
 
+class EndpointUpdateError(RouterError):
+    """A fault of this program has kept an endpoint update from coming into force."""
+
+
 @dataclass(slots=True, frozen=True)
 class NetworkEndpoint:
     """An entry of the endpoint list with the address, as `host:port`, at which it is reached."""
--- a/cache_router/net/eviction.py
+++ b/cache_router/net/eviction.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Iterator
 
 from cache_router.net.client_connection_table import ClientConnectionTable, OpenConnection
@@ -16,6 +17,7 @@
 # seconds between checks for overdue connections
 OVERDUE_CHECK_INTERVAL = 0.1
 INCOMPLETE_COMMAND_REPLY = "-ERR no whole command came"
+log = logging.getLogger(__name__)
 
 
 class Evictor:
@@ -74,10 +76,15 @@
         """Close overdue connections every OVERDUE_CHECK_INTERVAL until cancelled."""
         while True:
             await asyncio.sleep(OVERDUE_CHECK_INTERVAL)
-            now = asyncio.get_running_loop().time()
-            self._reject_incomplete_commands(now)
-            self._evict_unread_replies(now)
-            self._evict_surplus_idle(now)
+            try:
+                self._close_overdue(asyncio.get_running_loop().time())
+            except Exception:
+                log.exception("overdue connections")  # the next check is as necessary as this one
+
+    def _close_overdue(self, now: float) -> None:
+        self._reject_incomplete_commands(now)
+        self._evict_unread_replies(now)
+        self._evict_surplus_idle(now)
 
     def _reject_incomplete_commands(self, now: float) -> None:
         """Close connections that have sent nothing, or a part of a command, for too long."""
--- a/cache_router/net/listener.py
+++ b/cache_router/net/listener.py
@@ -87,8 +87,13 @@
                 log.warning("accept on %s: %s", self.address, e)
                 await asyncio.sleep(ACCEPT_RETRY_DELAY)
                 continue
-            await self._open_connection(client, Address(*client_address))
-            await self._evictor.evict_excess()
+            try:
+                await self._open_connection(client, Address(*client_address))
+                await self._evictor.evict_excess()
+            except Exception:
+                log.exception(
+                    "accept of client %s", Address(*client_address)
+                )  # others are still to be accepted
         # at once: a connection that the kernel accepts later would be reset together with its request
         self._socket.close()
         self._connections.notify_change()
