Soak: the router's process between stand-ins for all its peers, under faults drawn from seeds

Cause: no test played long outages, signals in series, changes of discovery and faults of servers together, on a process. Change: tests/soak. A seed draws settings, fleet, clients of six kinds, a crowd in one run of five, faults of caches, the origin and discovery, drains, restarts and series of SIGHUP; clients keep using their connections until the earliest SIGKILL. The soak waits for the signal masks.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,10 @@
 .DEFAULT_GOAL := help
-.PHONY: help format lint imports types unit test
+.PHONY: help format lint imports types unit soak test
+
+SEEDS ?= 50
+FIRST ?= 1
+SECONDS ?= 20
+JOBS ?= 3
 
 help: ## list the targets
 	@sed -nE 's/^([a-z]+):.*## (.*)/make \1\t\2/p' $(MAKEFILE_LIST) | expand -t 16
@@ -22,4 +27,7 @@
 unit: ## run the tests alone
 	python -m pytest
 
+soak: ## run the router's process under faults; SEEDS, FIRST, SECONDS and JOBS change how much
+	python -m tests.soak --seeds $(SEEDS) --first $(FIRST) --seconds $(SECONDS) --jobs $(JOBS)
+
 test: lint imports types unit ## run all checks, as CI does
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,37 @@
+"""Command line of the soak: one line a seed, and for a failure its command, events and log."""
+
+from __future__ import annotations
+
+import sys
+from concurrent.futures import ProcessPoolExecutor
+from functools import partial
+
+import click
+
+from tests.soak.faults import FAULTS
+from tests.soak.seeds import soak_seed
+
+
+@click.command()
+@click.option("--seeds", default=10, show_default=True, help="how many seeds are played")
+@click.option("--first", default=1, show_default=True, help="the first seed")
+@click.option("--seconds", default=15.0, show_default=True, help="of each seed, before its last SIGTERM")
+@click.option("--jobs", default=4, show_default=True, help="seeds played at one time")
+@click.option(
+    "--timing/--no-timing", default=True, help="check how soon things happen; needs a quiet machine"
+)
+@click.option("--fault", default="", type=click.Choice(["", *FAULTS]), help="a fault to put back")
+def main(*, seeds: int, first: int, seconds: float, jobs: int, timing: bool, fault: str) -> None:
+    """Run the router's process under faults drawn from seeds, and check what its peers see."""
+    passed = 0
+    with ProcessPoolExecutor(jobs) as pool:
+        play = partial(soak_seed, seconds=seconds, fault=fault, with_timing=timing)
+        for result in pool.map(play, range(first, first + seeds)):
+            passed += not result.violations
+            print(result.report, flush=True)
+    print(f"{passed} of {seeds} seeds passed")
+    sys.exit(passed < seeds)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/soak/clients.py
@@ -0,0 +1,195 @@
+"""Clients of several kinds, which keep using their connections until the router closes them."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import math
+import random
+from collections import deque
+from contextlib import suppress
+from typing import Any
+
+import hiredis
+
+from tests.soak.observations import Observations, SentRequest
+from tests.soak.plan import ClientKind
+
+KEY_COUNT = 40
+THINK_TIME = (0.02, 0.2)  # seconds
+RECONNECT_DELAY = 0.05
+ANSWER_GRACE = 0.5  # seconds after its deadline in which an answer only has no worth
+UNREAD_TIME = 1.0  # seconds for which a client of that kind reads nothing
+REST_TIME = 3.0
+MAX_SENDS = 2  # of a request that crosses the end of its connection
+
+
+class Client:
+    """One client; it opens another connection whenever one has ended."""
+
+    def __init__(
+        self,
+        name: str,
+        kind: ClientKind,
+        *,
+        address: tuple[str, int],
+        classes: list[dict[str, Any]],
+        generator: random.Random,
+        observations: Observations,
+    ) -> None:
+        """Create a client, which connects when it is run."""
+        self.name = name
+        self.kind = kind
+        self._address = address
+        self._classes = classes
+        self._generator = generator
+        self._observations = observations
+        self._numbers = itertools.count()
+        self._now = asyncio.get_running_loop().time
+        self._batch: list[SentRequest] = []  # sent on the present connection
+        self._again: deque[SentRequest] = deque()  # to be sent once more on another connection
+
+    async def run(self) -> None:
+        """Send requests until cancelled."""
+        while True:
+            try:
+                reader, writer = await asyncio.open_connection(*self._address)
+            except OSError:
+                await asyncio.sleep(RECONNECT_DELAY)
+                continue
+            self._batch = []
+            try:
+                await self._use(reader, writer)
+            except OSError:
+                self._note_closed([request for request in self._batch if request.answered_at is None])
+            except asyncio.CancelledError:
+                self._note_left()
+                raise
+            finally:
+                writer.transport.abort()
+            await asyncio.sleep(RECONNECT_DELAY)
+
+    def _note_left(self) -> None:
+        for request in self._batch:
+            if request.answered_at is None:
+                request.left_at = self._now()
+
+    async def _use(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Send requests on a connection until it ends."""
+        parser = hiredis.Reader(notEnoughData=Ellipsis)
+        while True:
+            batch = self._batch = [self._next_request() for _ in range(self._batch_size())]
+            await self._send(batch, writer)
+            if self.kind is ClientKind.LEAVING and self._generator.random() < 0.5:
+                await asyncio.sleep(self._generator.uniform(0.0, 0.1))
+                self._note_left()
+                return
+            if self.kind is ClientKind.NOT_READING:
+                await asyncio.sleep(UNREAD_TIME)
+            for position, request in enumerate(batch):
+                if not await self._read_answer(request, reader, parser):
+                    self._note_closed(batch[position:])
+                    return
+            if parser.gets() is not Ellipsis:
+                self._observations.violations.append(f"answers: {self.name} got one more than it asked for")
+            is_resting = self.kind is ClientKind.RESTING
+            pause = REST_TIME if is_resting else self._generator.uniform(*THINK_TIME)
+            await self._rest(reader, pause)
+            if reader.at_eof():
+                return
+
+    async def _rest(self, reader: asyncio.StreamReader, pause: float) -> None:
+        """Send nothing for a time; what the router sends meanwhile belongs to no request."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(pause):
+                if await reader.read(1):
+                    self._observations.violations.append(
+                        f"answers: {self.name} got one that it did not ask for"
+                    )
+
+    def _batch_size(self) -> int:
+        return self._generator.randint(3, 8) if self.kind is ClientKind.PIPELINING else 1
+
+    def _next_request(self) -> SentRequest:
+        if self._again:
+            request = self._again.popleft()
+            request.sends += request.sent_at < math.inf
+            request.sent_at, request.closed_at = math.inf, None
+            return request
+        request_class = self._generator.choices(self._classes, weights=[8, 1, 1])[0]
+        request_id = f"{self.name}-{next(self._numbers)}"
+        request = SentRequest(
+            request_id,
+            request_class["name"],
+            f"k{self._generator.randrange(KEY_COUNT)}",
+            is_write=request_class["name"] == "keyed",
+            sent_at=math.inf,
+            deadline=self._generator.choice([0.3, 0.6, 1.0]) * request_class["giveUp"],
+            client=self.kind.value,
+        )
+        self._observations.requests[request_id] = request
+        return request
+
+    async def _send(self, batch: list[SentRequest], writer: asyncio.StreamWriter) -> None:
+        data = b"".join(encode(request) for request in batch)
+        if self.kind is ClientKind.SLOWLY_WRITING:
+            middle = self._generator.randrange(1, len(data))
+            writer.write(data[:middle])
+            await asyncio.sleep(self._generator.uniform(0.0, 0.2))
+            data = data[middle:]
+        if writer.transport.is_closing():
+            raise ConnectionResetError
+        for request in batch:
+            request.sent_at = self._now()
+        writer.write(data)
+
+    async def _read_answer(
+        self, request: SentRequest, reader: asyncio.StreamReader, parser: hiredis.Reader
+    ) -> bool:
+        """Read the next answer; False when the connection ends before it."""
+        while (answer := parser.gets()) is Ellipsis:
+            # the check of deadlines comes later; this only ends a wait for an answer that never comes
+            async with asyncio.timeout(request.deadline * MAX_BATCH_DEADLINES + 2.0):
+                data = await reader.read(65536)
+            if not data:
+                return False
+            parser.feed(data)
+        request.answer = answer
+        request.answered_at = self._now()
+        return True
+
+    def _note_closed(self, unanswered: list[SentRequest]) -> None:
+        for request in unanswered:
+            request.closed_at = self._now()
+            if request.sends < MAX_SENDS:
+                self._again.append(request)
+
+
+MAX_BATCH_DEADLINES = 9  # answers of a batch come in order, and each may take the time of its own request
+
+
+def encode(request: SentRequest) -> bytes:
+    """The command of a request."""
+    info = f"c={request.request_class},t=x,d={int(request.deadline * 1000)}"
+    if request.request_class == "keyed":
+        info += f",k=key-{request.request_id}"
+    parts: list[str] = ["C.SET" if request.is_write else "C.GET", request.key, request.request_id, info]
+    if request.is_write:
+        parts.append("value")
+    return bytes(hiredis.pack_command(tuple(parts)))  # type: ignore[arg-type]
+
+
+async def hold_idle_connections(address: tuple[str, int], count: int) -> None:
+    """Keep many connections on which nothing is sent; others replace those that the router closes."""
+
+    async def hold() -> None:
+        while True:
+            writer = None
+            with suppress(OSError):
+                reader, writer = await asyncio.open_connection(*address)
+                await reader.read()
+            if writer is not None:
+                writer.transport.abort()
+            await asyncio.sleep(0.3)
+
+    await asyncio.gather(*(hold() for _ in range(count)))
--- /dev/null
+++ b/tests/soak/router.py
@@ -0,0 +1,194 @@
+"""The router's process in a soak: its configuration, its starts, its signals and its log."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+from contextlib import suppress
+from pathlib import Path
+from typing import Any
+
+import hiredis
+import orjson
+
+from tests.soak.network import Network
+from tests.soak.observations import Lifetime, Observations
+from tests.soak.plan import Plan, SignalSeries
+
+READY_POLL = 0.05  # seconds between two attempts to get a reply to PING
+ALTERNATIONS = 6
+ALTERNATION_PAUSE = 0.02  # seconds
+PYTHON_START_LIMIT = 1.0  # seconds
+MASKS = ("SigBlk", "SigCgt")  # of the signals that a process has blocked, and of those that it handles
+SIGHUP_BIT = 1 << (signal.SIGHUP - 1)
+REPEAT_PAUSE = 0.003  # seconds between signals in a shutdown, so that some come at each of its moments
+MALFORMED = b'{"listen":'
+
+
+class RouterProcess:
+    """The process, and its configuration file in a folder of its own."""
+
+    def __init__(
+        self,
+        plan: Plan,
+        *,
+        network: Network,
+        folder: Path,
+        known: dict[str, Any],
+        observations: Observations,
+        fault: str,
+    ) -> None:
+        """Write the configuration; `fault` names a patch of `tests.soak.faults`, empty for none."""
+        self._network = network
+        self._path = folder / "config.json"
+        self._observations = observations
+        self._fault = fault
+        self._discovery = 0
+        self._process: asyncio.subprocess.Process | None = None
+        self._log: asyncio.Task[None] | None = None
+        self._now = asyncio.get_running_loop().time
+        self._config: dict[str, Any] = {
+            "listen": _format(network.router),
+            "discovery": _format(network.discovery(0)),
+            "seed": f"{plan.seed:x}",
+            "limits": {"sockets": plan.descriptors, "memory_mb": 192},
+            "known": known,
+            "settings": plan.settings,
+        }
+        self.write_config()
+
+    @property
+    def lifetime(self) -> Lifetime:
+        """The process that was started last."""
+        return self._observations.lifetimes[-1]
+
+    @property
+    def process_id(self) -> int:
+        """The id of the process."""
+        assert self._process is not None
+        return self._process.pid
+
+    def write_config(self) -> None:
+        """Replace the file by the configuration."""
+        self._write(orjson.dumps(self._config))
+
+    def _write(self, text: bytes) -> None:
+        partial = self._path.with_suffix(".new")
+        partial.write_bytes(text)
+        partial.replace(self._path)
+
+    async def start(self) -> None:
+        """Start a process, and wait for its first PONG in the background."""
+        module = ["-m", "tests.soak.faults", self._fault] if self._fault else ["-m", "cache_router"]
+        self._process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            *module,
+            env={**os.environ, "RELAY_CONFIG": str(self._path)},
+            stderr=asyncio.subprocess.PIPE,
+        )
+        self._observations.lifetimes.append(Lifetime(self._now()))
+        self._log = asyncio.create_task(self._read_log(self._process))
+        with suppress(TimeoutError):
+            async with asyncio.timeout(PYTHON_START_LIMIT):
+                await self._wait_until_signals_are_held()
+
+    async def _wait_until_signals_are_held(self) -> None:
+        """Wait until the program holds SIGHUP back or handles it.
+
+        Before that Python itself starts, and nothing that the program does can keep a signal from ending it.
+        The operators' page promises that none comes before the router is ready.
+        """
+        status = Path(f"/proc/{self.process_id}/status")
+        while self._is_running():
+            masks = [line.split()[1] for line in status.read_text().splitlines() if line.startswith(MASKS)]
+            if any(int(mask, 16) & SIGHUP_BIT for mask in masks):
+                return
+            await asyncio.sleep(0.002)
+
+    async def _read_log(self, process: asyncio.subprocess.Process) -> None:
+        assert process.stderr is not None
+        while line := await process.stderr.readline():
+            self._observations.log.append(line.decode(errors="replace").rstrip())
+
+    async def wait_until_ready(self) -> None:
+        """Wait for the first PONG of the process."""
+        while self.lifetime.ready_at is None and self._is_running():
+            try:
+                reader, writer = await asyncio.open_connection(*self._network.router)
+                writer.write(bytes(hiredis.pack_command(("PING",))))
+                if (await reader.read(100)).startswith(b"+PONG"):
+                    self.lifetime.ready_at = self._now()
+                writer.transport.abort()
+            except OSError:
+                pass
+            await asyncio.sleep(READY_POLL)
+
+    def _is_running(self) -> bool:
+        return self._process is not None and self._process.returncode is None
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal, if the process is still running."""
+        if self._process is not None and self._is_running():
+            self._process.send_signal(number)
+            if number is signal.SIGHUP:
+                self._observations.signals.append(self._now())
+
+    async def signal_configurations(self, series: SignalSeries) -> None:
+        """Change the file as the series wants it, with SIGHUP after each change."""
+        match series:
+            case SignalSeries.MALFORMED:
+                self._write(MALFORMED)
+            case SignalSeries.MISSING:
+                self._path.unlink(missing_ok=True)
+            case SignalSeries.NEW | SignalSeries.ALTERNATING:
+                self._change_discovery()
+        self.send(signal.SIGHUP)
+        if series is SignalSeries.ALTERNATING:
+            for _ in range(ALTERNATIONS):
+                await asyncio.sleep(ALTERNATION_PAUSE)
+                self._change_discovery()
+                self.send(signal.SIGHUP)
+        if series in (SignalSeries.MALFORMED, SignalSeries.MISSING):
+            await asyncio.sleep(0.2)  # until the router has read it
+            self.write_config()
+
+    def _change_discovery(self) -> None:
+        self._discovery = 1 - self._discovery
+        self._config["discovery"] = _format(self._network.discovery(self._discovery))
+        self.write_config()
+
+    async def terminate(self, sigkill_after: float) -> None:
+        """Send SIGTERM twice and SIGHUP during the shutdown; SIGKILL at the earliest time that is allowed."""
+        assert self._process is not None
+        assert self._log is not None
+        self.lifetime.terminated_at = self._now()
+        self.send(signal.SIGTERM)
+        repeats = asyncio.create_task(self._repeat_signals())
+        try:
+            async with asyncio.timeout(sigkill_after):
+                await self._process.wait()
+        except TimeoutError:
+            self.lifetime.was_killed = True
+            self._process.kill()
+            await self._process.wait()
+        repeats.cancel()
+        self.lifetime.ended_at = self._now()
+        self.lifetime.status = self._process.returncode
+        await self._log
+
+    async def _repeat_signals(self) -> None:
+        while self._is_running():
+            await asyncio.sleep(REPEAT_PAUSE)
+            self.send(signal.SIGTERM)
+            self.send(signal.SIGHUP)
+
+    def kill(self) -> None:
+        """End the process at once, if it is still running."""
+        if self._process is not None and self._is_running():
+            self._process.kill()
+
+
+def _format(address: tuple[str, int]) -> str:
+    return f"{address[0]}:{address[1]}"
--- /dev/null
+++ b/tests/soak/run.py
@@ -0,0 +1,223 @@
+"""Plays the plan of one seed: starts all peers and the router, and does each step at its time."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import signal
+import time
+from pathlib import Path
+from typing import Any
+
+from tests.soak.clients import Client, hold_idle_connections
+from tests.soak.discovery import Discovery
+from tests.soak.network import Network
+from tests.soak.observations import Observations
+from tests.soak.plan import (
+    CACHE_KIND,
+    ORIGIN_KIND,
+    CacheMode,
+    DiscoveryMode,
+    OriginMode,
+    Plan,
+    SignalSeries,
+    Step,
+)
+from tests.soak.router import RouterProcess
+from tests.soak.upstreams import Cache, Origin
+
+MAX_FD_GROWTH = 40  # descriptors at rest, beyond those at the start: idle connections to servers
+MAX_MEMORY_GROWTH = 40.0  # MB, beyond the start
+SETTLE_TIME = 1.5  # seconds after the last client has left
+LOAD_BEFORE_END = 1.0  # seconds of load before the last SIGTERM
+CLIENT_STOP_TIME = 0.3  # seconds after the end of the process in which clients note the end of connections
+
+
+class SoakRun:
+    """One run; all of it is on this process's event loop but the router."""
+
+    def __init__(self, plan: Plan, folder: Path, fault: str = "") -> None:
+        """Create the peers of a plan, which start with `play`."""
+        self.plan = plan
+        self.observations = Observations()
+        self._network = Network(os.getpid())
+        self._generator = random.Random(plan.seed)
+        self._now = asyncio.get_running_loop().time
+        self.caches = [self._cache(index) for index in range(plan.cache_count)]
+        self.origin = Origin("origin-1", self._network.origin, self._generator, self.observations)
+        self.discovery = Discovery([self._network.discovery(i) for i in range(2)], self.observations)
+        for index in range(plan.cache_count):
+            self.discovery.registry.put(self.entry(index))
+        self.discovery.registry.put(self._origin_entry())
+        entries = list(self.discovery.registry.entries.values())
+        known = {"index": 1, "snapshot": True, "endpoints": entries}
+        self.router = RouterProcess(
+            plan,
+            network=self._network,
+            folder=folder,
+            known=known,
+            observations=self.observations,
+            fault=fault,
+        )
+
+    def _cache(self, index: int) -> Cache:
+        address = self._network.cache(index)
+        return Cache(f"cache-{index}", address, self.plan.is_cache_aside, self._generator, self.observations)
+
+    def entry(self, index: int, **changes: Any) -> dict[str, Any]:
+        """The endpoint list's entry of a cache server."""
+        host, port = self._network.cache(index)
+        entry = {
+            "name": f"cache-{index}",
+            "address": f"{host}:{port}",
+            "zone": "ab"[index % 2],
+            "type": CACHE_KIND,
+            "group": index % 2,
+            "status": "in_service",
+            "weight": 1.0,
+            "since_ms": 0,
+        }
+        return {**entry, **changes}
+
+    def _origin_entry(self) -> dict[str, Any]:
+        host, port = self._network.origin
+        return self.entry(0, name="origin-1", address=f"{host}:{port}", type=ORIGIN_KIND, zone="a", group=9)
+
+    async def play(self) -> None:
+        """Play the whole plan, and end the router."""
+        background = [asyncio.create_task(self.observations.measure_lag())]
+        try:
+            for listener in (
+                *(c.listener for c in self.caches),
+                self.origin.listener,
+                *self.discovery.listeners,
+            ):
+                await listener.open()
+            await self._play_lifetimes(background)
+        finally:
+            self.router.kill()
+            for task in background:
+                task.cancel()
+            await asyncio.gather(*background, return_exceptions=True)
+            for listener in (
+                *(c.listener for c in self.caches),
+                self.origin.listener,
+                *self.discovery.listeners,
+            ):
+                listener.close()
+
+    async def _play_lifetimes(self, background: list[asyncio.Task[None]]) -> None:
+        await self.router.start()
+        ready = asyncio.create_task(self.router.wait_until_ready())
+        steps = asyncio.create_task(self._do_steps())
+        background += [ready, steps]
+        await ready
+        at_start = self._resources()
+        load = self._start_load()
+        background += load
+        await steps
+        await self._stop_load(load)
+        await self._check_rest(at_start)
+        load = self._start_load("d")
+        background += load
+        await asyncio.sleep(LOAD_BEFORE_END)
+        await self._terminate()
+        await asyncio.sleep(CLIENT_STOP_TIME)
+        await self._stop_load(load)
+
+    @staticmethod
+    async def _stop_load(load: list[asyncio.Task[None]]) -> None:
+        for client in load:
+            client.cancel()
+        await asyncio.gather(*load, return_exceptions=True)
+
+    async def _check_rest(self, at_start: tuple[int, float]) -> None:
+        """Check that the router holds no more than at its start once all clients have left."""
+        restarted = len(self.observations.lifetimes) > 1
+        await asyncio.sleep(SETTLE_TIME)
+        descriptors, memory = self._resources()
+        if descriptors - at_start[0] > MAX_FD_GROWTH:
+            self.observations.violations.append(
+                f"rest: {descriptors} descriptors, {at_start[0]} at the start"
+            )
+        if memory - at_start[1] > MAX_MEMORY_GROWTH and not restarted:
+            self.observations.violations.append(f"rest: {memory:.0f} MB, {at_start[1]:.0f} at the start")
+
+    def _start_load(self, prefix: str = "c") -> list[asyncio.Task[None]]:
+        classes = self.plan.settings["classes"]
+        clients = [
+            Client(
+                f"{prefix}{n}",
+                kind,
+                address=self._network.router,
+                classes=classes,
+                generator=random.Random(self.plan.seed + n),
+                observations=self.observations,
+            )
+            for n, kind in enumerate(self.plan.clients)
+        ]
+        load = [asyncio.create_task(client.run()) for client in clients]
+        if self.plan.crowd:
+            load.append(asyncio.create_task(hold_idle_connections(self._network.router, self.plan.crowd)))
+        return load
+
+    async def _do_steps(self) -> None:
+        started_at = self._now()
+        for step in self.plan.steps:
+            await asyncio.sleep(max(0.0, started_at + step.time - self._now()))
+            self.observations.note(self._now() - started_at, f"{step.kind} {step.subject}")
+            await self._do(step)
+        await asyncio.sleep(max(0.0, started_at + self.plan.duration - self._now()))
+
+    async def _do(self, step: Step) -> None:
+        match step.kind:
+            case CacheMode():
+                await self._set_cache_mode(step.subject, step.kind)
+            case DiscoveryMode():
+                await self.discovery.set_mode(step.kind)
+            case OriginMode():
+                self.origin.mode = step.kind
+                if step.kind is OriginMode.GONE:
+                    self.origin.listener.close()
+                else:
+                    await self.origin.listener.open()
+            case SignalSeries():
+                await self.router.signal_configurations(step.kind)
+            case "drain":
+                self._drain(step.subject)
+            case "restart":
+                await self._restart()
+
+    async def _set_cache_mode(self, index: int, mode: CacheMode) -> None:
+        cache = self.caches[index]
+        was_gone = cache.mode is CacheMode.GONE
+        cache.mode = mode
+        if mode is CacheMode.GONE:
+            cache.listener.close()
+        elif was_gone:  # it comes back cold
+            await cache.listener.open()
+            if cache.name not in self.observations.drained:
+                self.discovery.registry.put(self.entry(index, since_ms=int(time.time() * 1000)))
+
+    def _drain(self, index: int) -> None:
+        self.observations.drained.setdefault(f"cache-{index}", []).append((self._now(), None))
+        self.discovery.registry.put(self.entry(index, status="terminating"))
+
+    async def _restart(self) -> None:
+        await self._terminate()
+        await self.router.start()
+        self.router.send(signal.SIGHUP)  # before it has its first list
+        await self.router.wait_until_ready()
+
+    async def _terminate(self) -> None:
+        await self.router.terminate(self.plan.sigkill_after)
+
+    def _resources(self) -> tuple[int, float]:
+        """Descriptors and resident memory, in MB, of the router."""
+        folder = Path(f"/proc/{self.router.process_id}")
+        try:
+            pages = int((folder / "statm").read_text().split()[1])
+            return len(list((folder / "fd").iterdir())), pages * 4096 / 1e6
+        except OSError:
+            return 0, 0.0
--- /dev/null
+++ b/tests/soak/upstreams.py
@@ -0,0 +1,142 @@
+"""Stand-ins for cache servers and the origin, which record every attempt."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import hiredis
+
+from tests.soak.network import Listener
+from tests.soak.observations import Attempt, Observations
+from tests.soak.plan import CacheMode, OriginMode
+
+REPORT = b"svc_ms=5,pending=0"
+MISS_SHARE = 0.15  # of the reads, where the router fetches misses itself
+USUAL_LATENCY = (0.001, 0.008)  # seconds
+SLOW_LATENCY = (0.2, 0.5)
+LATE_SECOND_ANSWER = (0.001, 0.004)
+
+
+def value_of(key: bytes, request_id: bytes) -> bytes:
+    """The value of a key, made for one request."""
+    return key + b"|" + request_id
+
+
+def encode_answer(value: bytes | None, outcome: bytes) -> bytes:
+    """A cache server's answer: the value, how it was found, a load report."""
+    encoded = b"$-1\r\n" if value is None else b"$%d\r\n%b\r\n" % (len(value), value)
+    return b"*3\r\n%b$%d\r\n%b\r\n$%d\r\n%b\r\n" % (encoded, len(outcome), outcome, len(REPORT), REPORT)
+
+
+class Cache:
+    """One cache server."""
+
+    def __init__(
+        self,
+        name: str,
+        address: tuple[str, int],
+        is_cache_aside: bool,
+        generator: random.Random,
+        observations: Observations,
+    ) -> None:
+        """Prepare a server; `is_cache_aside` is whether a read may miss, and a write always does."""
+        self.name = name
+        self.mode = CacheMode.NORMAL
+        self.listener = Listener(address, self._serve)
+        self._is_cache_aside = is_cache_aside
+        self._generator = generator
+        self._observations = observations
+        self._now: Callable[[], float] = asyncio.get_running_loop().time
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        parser = hiredis.Reader(notEnoughData=Ellipsis)
+        attempt: Attempt | None = None
+        try:
+            while data := await reader.read(65536):
+                received_at = self._now()
+                parser.feed(data)
+                while (command := parser.gets()) is not Ellipsis:
+                    attempt = Attempt(received_at, self._observations.lag, command[2].decode(), self.name)
+                    self._observations.attempts.append(attempt)
+                    await self._answer(attempt, command, reader, writer)
+        finally:
+            if attempt is not None and attempt.ended_at is None:
+                attempt.ended_at = self._now()
+
+    async def _answer(
+        self,
+        attempt: Attempt,
+        command: list[bytes],
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        verb, key, request_id = command[:3]
+        latency = SLOW_LATENCY if self.mode is CacheMode.SLOW else USUAL_LATENCY
+        await asyncio.sleep(self._generator.uniform(*latency))
+        mode = self.mode
+        is_read = verb == b"C.GET"
+        misses = self._is_cache_aside and (not is_read or self._generator.random() < MISS_SHARE)
+        answer = encode_answer(None if misses else value_of(key, request_id), b"miss" if misses else b"hit")
+        match mode:
+            case CacheMode.HANGING:
+                await reader.read()
+                return
+            case CacheMode.RESETTING:
+                writer.transport.abort()
+                return
+            case CacheMode.CUTTING:
+                writer.write(answer[: len(answer) // 2])
+                await writer.drain()
+                writer.close()
+                return
+            case CacheMode.REJECTING:
+                attempt.proves_no_execution = True
+                answer = b"-BUSY\r\n"
+            case CacheMode.FAILING:
+                answer = b"-ERR failed\r\n"
+            case _:
+                attempt.proves_no_execution = misses
+        attempt.ended_at = self._now()
+        writer.write(answer)
+        if mode is CacheMode.ANSWERING_TWICE:
+            await asyncio.sleep(self._generator.uniform(*LATE_SECOND_ANSWER))
+            writer.write(answer)
+
+
+class Origin:
+    """The origin."""
+
+    def __init__(
+        self, name: str, address: tuple[str, int], generator: random.Random, observations: Observations
+    ) -> None:
+        """Prepare the server."""
+        self.name = name
+        self.mode = OriginMode.NORMAL
+        self.listener = Listener(address, self._serve)
+        self._generator = generator
+        self._observations = observations
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        now = asyncio.get_running_loop().time
+        while True:
+            head = (await reader.readuntil(b"\r\n\r\n")).decode()
+            received_at = now()
+            first, *lines = head.strip().split("\r\n")
+            headers = {name.lower(): value for name, value in (line.split(": ", 1) for line in lines)}
+            await reader.readexactly(int(headers.get("content-length", 0)))
+            key, request_id = first.split()[1][1:], headers["request-id"]
+            attempt = Attempt(received_at, self._observations.lag, request_id, self.name, is_origin=True)
+            self._observations.attempts.append(attempt)
+            slow = self.mode is OriginMode.SLOW
+            try:
+                await asyncio.sleep(self._generator.uniform(*(SLOW_LATENCY if slow else (0.01, 0.03))))
+            finally:
+                attempt.ended_at = now()
+            if self.mode is OriginMode.REJECTING:
+                attempt.proves_no_execution = True
+                writer.write(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\nNot-Started: 1\r\n\r\n")
+                continue
+            body = value_of(key.encode(), request_id.encode())
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
