Eviction tests: the client that others are compared with is not closed in a pause

Cause: test_throttled_clients_are_evicted_first failed once at a load of about 20. Order of events: the regular client has sent one PING and is idle; the router has more connections than half of its limit; after 0.1 s (SINGLE_COMMAND_IDLE_TIMEOUT) its periodic check closes that client. A test that is paused for longer compares with a client that is gone. The program does what it should. Change: in the three tests that compare with an idle client, the periodic eviction of idle ones has the time limit of a test; what they check of the eviction at the limit stays the same.

--- a/tests/cache_router/net/test_eviction.py
+++ b/tests/cache_router/net/test_eviction.py
@@ -10,6 +10,7 @@
 import pytest
 
 from cache_router.net import client_connection_table, eviction
+from tests.support.coroutine_tests import DEFAULT_TIME_LIMIT
 from tests.support.event_order import wait_until
 from tests.support.loopback import HIT, Link, command, error_text, read
 from tests.support.loopback_router import READ, SETTINGS, Router, router_with
@@ -61,7 +62,19 @@
     return client
 
 
+@pytest.fixture
+def no_idle_eviction(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Keep idle clients, of which the router closes some at half of its limit, from being closed in a pause.
+
+    A client that has sent one command is closed after 0.1 s. A test that is paused for longer, on a busy machine,
+    would lose the client that it compares others with.
+    """
+    monkeypatch.setattr(eviction, "SINGLE_COMMAND_IDLE_TIMEOUT", DEFAULT_TIME_LIMIT)
+    monkeypatch.setattr(eviction, "IDLE_TIMEOUT", DEFAULT_TIME_LIMIT)
+
+
 @router_with(max_clients=3)
+@pytest.mark.usefixtures("no_idle_eviction")
 async def test_clients_awaiting_a_command_are_evicted_first(
     router: Router, monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -77,6 +90,7 @@
 
 
 @router_with(max_clients=2)
+@pytest.mark.usefixtures("no_idle_eviction")
 async def test_throttled_clients_are_evicted_first(router: Router) -> None:
     """They are never idle, as the next error follows the last, and would otherwise never be evicted."""
     regular, erroneous = await client_after_pings(router, 1), await client_after_pings(router, 2)
@@ -89,6 +103,7 @@
 
 
 @router_with(max_clients=2)
+@pytest.mark.usefixtures("no_idle_eviction")
 async def test_clients_with_a_single_command_are_evicted_before_regular_ones(router: Router) -> None:
     """Otherwise many single-command clients would make regular ones reconnect for every request."""
     regular, single = await client_after_pings(router, 2), await client_after_pings(router, 1)
