--- a/tests/cache_router/net/test_eviction.py
+++ b/tests/cache_router/net/test_eviction.py
@@ -66,8 +66,8 @@
 def no_idle_eviction(monkeypatch: pytest.MonkeyPatch) -> None:
     """Keep idle clients, of which the router closes some at half of its limit, from being closed in a pause.
 
-    A client that has sent one command is closed after 0.1 s. A test that is paused for longer, on a busy machine,
-    would lose the client that it compares others with.
+    A client that has sent one command is closed after 0.1 s. A test that is paused for longer, on a busy
+    machine, would lose the client that it compares others with.
     """
     monkeypatch.setattr(eviction, "SINGLE_COMMAND_IDLE_TIMEOUT", DEFAULT_TIME_LIMIT)
     monkeypatch.setattr(eviction, "IDLE_TIMEOUT", DEFAULT_TIME_LIMIT)
