Soak: the configuration can be used until the router is ready

Change: before a process is ready, a series that makes the file unusable sends SIGHUP with the file as it is.

--- a/tests/soak/router.py
+++ b/tests/soak/router.py
@@ -25,6 +25,7 @@
 MASKS = ("SigBlk", "SigCgt")  # of the signals that a process has blocked, and of those that it handles
 SIGHUP_BIT = 1 << (signal.SIGHUP - 1)
 REPEAT_PAUSE = 0.003  # seconds between signals in a shutdown, so that some come at each of its moments
+UNUSABLE = (SignalSeries.MALFORMED, SignalSeries.MISSING)
 MALFORMED = b'{"listen":'
 
 
@@ -137,7 +138,13 @@
                 self._observations.signals.append(self._now())
 
     async def signal_configurations(self, series: SignalSeries) -> None:
-        """Change the file as the series wants it, with SIGHUP after each change."""
+        """Change the file as the series wants it, with SIGHUP after each change.
+
+        A process that starts with a file that it cannot use ends with status 2, as it should. Until it is ready
+        the file can be used.
+        """
+        if self.lifetime.ready_at is None and series in UNUSABLE:
+            series = SignalSeries.SAME
         match series:
             case SignalSeries.MALFORMED:
                 self._write(MALFORMED)
@@ -151,7 +158,7 @@
                 await asyncio.sleep(ALTERNATION_PAUSE)
                 self._change_discovery()
                 self.send(signal.SIGHUP)
-        if series in (SignalSeries.MALFORMED, SignalSeries.MISSING):
+        if series in UNUSABLE:
             await asyncio.sleep(0.2)  # until the router has read it
             self.write_config()
 
