--- a/tests/soak/router.py
+++ b/tests/soak/router.py
@@ -140,8 +140,8 @@
     async def signal_configurations(self, series: SignalSeries) -> None:
         """Change the file as the series wants it, with SIGHUP after each change.
 
-        A process that starts with a file that it cannot use ends with status 2, as it should. So the file can be
-        used until the process is ready.
+        A process that starts with a file that it cannot use ends with status 2, as it should. So the file can
+        be used until the process is ready.
         """
         if self.lifetime.ready_at is None and series in UNUSABLE:
             series = SignalSeries.SAME
