--- a/tests/cache_router/decisions/test_router_sequences.py
+++ b/tests/cache_router/decisions/test_router_sequences.py
@@ -54,7 +54,7 @@
     """A driver that draws events, and plays the host's part of a watch."""
 
     def __init__(self, conf: Settings, seed: int) -> None:
-        """Start a router that has asked for nothing yet."""
+        """Start a router that has polled nothing yet."""
         self.is_polling = False
         self.is_hastened = False  # timers of polls fire before they are due
         self.poll_due = 0.0  # of the timer of a poll that was set last
@@ -135,7 +135,7 @@
         self.handle(AttemptCompleted(name, number, status, is_final, latency, report if has_report else None))
 
     def draw_time(self) -> None:
-        """Time passes, and what is due meanwhile happens."""
+        """Time passes, and all that is due in it happens."""
         self.advance(self.random.choice(TIME_STEPS))
 
     def draw_update(self) -> None:
--- a/tests/cache_router/net/test_eviction.py
+++ b/tests/cache_router/net/test_eviction.py
@@ -64,7 +64,7 @@
 
 @pytest.fixture
 def no_idle_eviction(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Keep idle clients, of which the router closes some at half of its limit, from being closed in a pause.
+    """Keep the router from closing idle clients above half of its limit, in a pause of the test.
 
     A client that has sent one command is closed after 0.1 s. A test that is paused for longer, on a busy
     machine, would lose the client that it compares others with.
--- a/tests/cache_router/net/test_faults_of_decisions.py
+++ b/tests/cache_router/net/test_faults_of_decisions.py
@@ -1,4 +1,4 @@
-"""The decision module raises once, at each kind of event: what the router owes is still done.
+"""The decision module raises once, at each kind of event: clients are answered, the watch is renewed.
 
 What happened: one OverflowError in the report of a failed poll ended the task of the watch. Nothing renewed
 the watch, and nothing said so but a line of asyncio's when the task was collected. Later events stayed in
--- a/tests/cache_router/test_address_changes.py
+++ b/tests/cache_router/test_address_changes.py
@@ -1,6 +1,6 @@
 """Changes of discovery's address during an outage, on a real process.
 
-`decisions/test_single_timers.py` tells what happened.
+`decisions/test_single_timers.py` describes the fault.
 """
 
 from __future__ import annotations
--- a/tests/cache_router/test_signals.py
+++ b/tests/cache_router/test_signals.py
@@ -33,7 +33,7 @@
 SIGNALS = [signal.SIGHUP, signal.SIGTERM]
 REPEATS = 20
 # Python imports this module at its start. It halts the program where the test wants it, by a pipe that has no
-# writer until the test opens it, and goes on when the test closes the pipe.
+# writer until the test opens it, and continues when the test closes the pipe.
 HALTING_MODULE = """
 import atexit, os, sys
 
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -99,7 +99,7 @@
                 return
 
     async def _rest(self, reader: asyncio.StreamReader, pause: float) -> None:
-        """Send nothing for a time; what the router sends meanwhile belongs to no request."""
+        """Send nothing for a time; what the router sends in that time belongs to no request."""
         with suppress(TimeoutError):
             async with asyncio.timeout(pause):
                 if await reader.read(1):
--- a/tests/soak/network.py
+++ b/tests/soak/network.py
@@ -1,4 +1,4 @@
-"""Addresses on loopback, and a listening socket that can vanish and return."""
+"""Addresses on loopback, and a listening socket that can be closed and opened again."""
 
 from __future__ import annotations
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -27,7 +27,7 @@
 from tests.soak.router import RouterProcess
 from tests.soak.upstreams import Cache, Origin
 
-MAX_FD_GROWTH = 40  # descriptors at rest, beyond those at the start: idle connections to servers
+MAX_FD_GROWTH = 40  # descriptors without load, beyond those at the start: idle connections to servers
 MAX_MEMORY_GROWTH = 40.0  # MB, beyond the start
 SETTLE_TIME = 1.5  # seconds after the last client has left
 LOAD_BEFORE_END = 1.0  # seconds of load before the last SIGTERM
@@ -195,7 +195,7 @@
         cache.mode = mode
         if mode is CacheMode.GONE:
             cache.listener.close()
-        elif was_gone:  # it comes back cold
+        elif was_gone:  # it restarts, and is empty
             await cache.listener.open()
             if cache.name not in self.observations.drained:
                 self.discovery.registry.put(self.entry(index, since_ms=int(time.time() * 1000)))
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -17,7 +17,7 @@
 USUAL_LATENCY = (0.001, 0.008)  # seconds
 SLOW_LATENCY = (0.2, 0.5)
 LATE_SECOND_ANSWER = (0.001, 0.004)
-# The router takes what comes later than 10 ms for the answer to the next request, a known limit of it
+# An answer later than 10 ms is taken for the one to the next request, which is a known limit of the router
 # (docs/ROADMAP.md). A server on a busy machine is not to exceed that.
 LATEST_SECOND_ANSWER = 0.006
 
--- a/tests/support/router_process.py
+++ b/tests/support/router_process.py
@@ -87,7 +87,7 @@
     """Send a signal, also in a series up to the end of the process.
 
     `Process.send_signal` looks whether the process has ended. It may then take the status that asyncio waits
-    for in another thread: asyncio reports 255 in that case, whatever the status is.
+    for in another thread: asyncio reports 255 in that case, with any status.
     """
     with suppress(ProcessLookupError):
         os.kill(process.pid, number)
