--- a/scale_experiments/routers/hollow/router.py
+++ b/scale_experiments/routers/hollow/router.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 
 from cache_router.decisions.events import EndpointUpdate, EndpointUpdateKind, Event
@@ -81,11 +82,16 @@
 
     def _on_update(self, kind: EndpointUpdateKind, endpoints: list[NetworkEndpoint]) -> None:
         self._dispatcher.on_endpoint_update(kind, endpoints)
+        self._statistics.on_update()
+        # the watch records the index once the update has been applied
+        asyncio.get_running_loop().call_soon(self._record_index)
+
+    def _record_index(self) -> None:
+        """Count the update of an index that is higher than all before it."""
         index = self._discovery.index
         if index is not None and index > self._index:
             self._statistics.on_index(self._number, self._index, index, time.monotonic())
             self._index = index
-        self._statistics.on_update()
 
     def _on_failure(self, discovery_address: str) -> None:
         self._statistics.on_failure()
