Soak: an unused constant and an end of drains that is never set go

Cause: read once more, ANSWER_GRACE of the clients is used by checks.py's own alone; a drain kept a list of pairs whose second part was always None; a constant stood below the class that uses it. Change: the constant goes, a drained server has one time, MAX_BATCH_DEADLINES stands with the others.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -156,8 +156,7 @@
 def _check_drains(run: SoakRun, with_timing: bool) -> Iterator[str]:
     seen = run.observations
     busy = 0.0 if with_timing else BUSY_MACHINE
-    for server, drains in seen.drained.items():
-        drained_at = drains[0][0]
+    for server, drained_at in seen.drained.items():
         version = run.discovery.registry.changed_in[server]
         for life in seen.lifetimes:
             deadline = _notification_deadline(max(drained_at, life.started_at), run)
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -18,9 +18,9 @@
 KEY_COUNT = 40
 THINK_TIME = (0.02, 0.2)  # seconds
 RECONNECT_DELAY = 0.05
-ANSWER_GRACE = 0.5  # seconds after its deadline in which an answer only has no worth
 UNREAD_TIME = 1.0  # seconds for which a client of that kind reads nothing
 REST_TIME = 3.0
+MAX_BATCH_DEADLINES = 9  # answers of a batch come in order, and each may take the time of its own request
 MAX_SENDS = 2  # of a request that crosses the end of its connection
 
 
@@ -165,9 +165,6 @@
                 self._again.append(request)
 
 
-MAX_BATCH_DEADLINES = 9  # answers of a batch come in order, and each may take the time of its own request
-
-
 def encode(request: SentRequest) -> bytes:
     """The command of a request."""
     info = f"c={request.request_class},t=x,d={int(request.deadline * 1000)}"
--- a/tests/soak/observations.py
+++ b/tests/soak/observations.py
@@ -71,7 +71,7 @@
     attempts: list[Attempt] = field(default_factory=list)
     polls: list[Poll] = field(default_factory=list)
     lifetimes: list[Lifetime] = field(default_factory=list)
-    drained: dict[str, list[tuple[float, float | None]]] = field(default_factory=dict)  # from, to, by server
+    drained: dict[str, float] = field(default_factory=dict)  # since when, by server
     signals: list[float] = field(default_factory=list)  # times of SIGHUP
     log: list[str] = field(default_factory=list)
     events: list[str] = field(default_factory=list)  # what was done, in order
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -206,7 +206,7 @@
                 self.discovery.registry.put(self.entry(index, since_ms=int(time.time() * 1000)))
 
     def _drain(self, index: int) -> None:
-        self.observations.drained.setdefault(f"cache-{index}", []).append((self._now(), None))
+        self.observations.drained.setdefault(f"cache-{index}", self._now())
         self.discovery.registry.put(self.entry(index, status="terminating"))
 
     async def _restart(self) -> None:
