--- a/cache_router/net/client_connection.py
+++ b/cache_router/net/client_connection.py
@@ -197,13 +197,18 @@
             self._transport.write(complete_data)
         if not self._replies:
             self._report_state()
-        if self._closing_after_error and not self._replies:
+            self._close_after_last_reply()
+        if not self._reading_enabled and not self._transport.is_closing():
+            # Further commands may be buffered, or unread in the socket, also while the router drains.
+            asyncio.get_running_loop().call_soon(self._process_input)
+
+    def _close_after_last_reply(self) -> None:
+        """Close the connection if no further reply will be written on it."""
+        if self._closing_after_error:
             self._close()
-        elif self._owner.draining and not self._replies and self._writing_enabled:
+        elif self._owner.draining and self._writing_enabled:
             # Close now, before the client sends its next request.
             self.close_if_between_requests()
-        elif not self._reading_enabled and not self._closing_after_error:
-            asyncio.get_running_loop().call_soon(self._process_input)
 
     def _report_state(self) -> None:
         if self._replies or self._closing_after_error or self._throttled:
--- a/tests/cache_router/test_shutdown.py
+++ b/tests/cache_router/test_shutdown.py
@@ -11,6 +11,7 @@
 import pytest
 
 from cache_router.net import client_connection_table
+from cache_router.net.client_connection import MAX_PIPELINED_COMMANDS
 from tests.support.coroutine_tests import DEFAULT_TIME_LIMIT
 from tests.support.endpoint_lists import encode_endpoint_list
 from tests.support.event_order import wait_until
@@ -132,3 +133,30 @@
     assert isinstance(await client.read_resp(), hiredis.ReplyError)
     assert await client.closed_by_peer()
     await shutdown
+
+
+@pytest.mark.parametrize("first_burst", [MAX_PIPELINED_COMMANDS, 3 * MAX_PIPELINED_COMMANDS])
+async def test_commands_beyond_the_pipeline_limit_are_answered_while_draining(
+    router: Router, first_burst: int
+) -> None:
+    """The fault: no answer to commands that were buffered or unread when all replies ahead left together."""
+    client = await router.client()
+    request_ids = [f"r{n}" for n in range(3 * MAX_PIPELINED_COMMANDS)]
+    client.write(b"".join(encode_read(n) for n in request_ids[:first_burst]))
+    await wait_until(router.client_connections)
+    (connection,) = router.client_connections()
+    await wait_until(lambda: not connection.is_reading())
+    client.write(b"".join(encode_read(n) for n in request_ids[first_burst:]))
+    router.dispatcher.start_shutdown(0.2)
+    shutdown = asyncio.create_task(router.listener.stop(0.0, DEFAULT_TIME_LIMIT))
+    await wait_until(lambda: router.listener.is_draining)
+    for request_id in request_ids[1:MAX_PIPELINED_COMMANDS]:
+        router.dispatcher.requests.respond(request_id, b"-ERR failed\r\n")
+    # The reply to the first command, in a later iteration of the event loop, lets all of them leave together.
+    await asyncio.sleep(0.01)
+    assert connection.pending_replies == MAX_PIPELINED_COMMANDS
+    router.dispatcher.requests.respond(request_ids[0], b"-ERR failed\r\n")
+    for _ in request_ids:
+        assert isinstance(await client.read_resp(), hiredis.ReplyError)
+    assert await client.closed_by_peer()
+    await shutdown
