A copied miss or rejection no longer proves that a request was not executed

A late copy of a miss was taken for the response to the next request on its connection, and a miss proves that nothing ran. A value that comes twice is recognized as a copy; misses and rejections are alike and can't be. Change: an attempt knows whether its request is idempotent. One that is not gets no connection whose last response was a miss, a rejection or an error.

--- a/cache_router/net/attempt_runner.py
+++ b/cache_router/net/attempt_runner.py
@@ -10,10 +10,11 @@
 from cache_router.decisions.events import AttemptCompleted, AttemptStatus, Event
 from cache_router.load_report import parse_load_report
 from cache_router.net.clock import Clock
+from cache_router.net.command import CLASS_FIELD
 from cache_router.net.endpoint_table import EndpointTable, NetworkEndpoint
 from cache_router.net.request_table import RequestInFlight, RequestTable
 from cache_router.net.upstream_attempt import UpstreamAttempt, UpstreamResponse
-from cache_router.settings import Settings
+from cache_router.settings import Idempotency, Settings
 
 log = logging.getLogger(__name__)
 
@@ -41,6 +42,7 @@
             post: Called with each `AttemptCompleted`.
             on_client_disconnected: Called with the id of a request whose client has disconnected.
         """
+        self._classes = settings.classes
         self._max_attempts = settings.max_attempts
         self._load_report_fields = settings.load_report_fields
         self._clock = clock
@@ -98,6 +100,8 @@
             # collector.
             partial(self._complete, request, number),
             precondition=partial(self._precondition, request, endpoint),
+            is_idempotent=self._classes[request.command.info[CLASS_FIELD]].idempotency
+            is Idempotency.IDEMPOTENT,
             number=number,
             started_at=now,
         )
--- a/cache_router/net/completed_exchange.py
+++ b/cache_router/net/completed_exchange.py
@@ -30,16 +30,16 @@
         """Return the exchange of a request and its complete response."""
         return cls(command.key, command.is_write, response.status, hash(response.value))
 
-    def may_precede(self, command: Command) -> bool:
-        """Return whether a copy of this exchange's response can be told from the response to `command`.
+    def may_precede(self, command: Command, is_idempotent: bool) -> bool:
+        """Return whether a copy of this exchange's response does no harm in the place of that to `command`.
 
-        Two reads of a key may have equal values, and two writes equal receipts. A copied rejection would seem
-        to prove that a write was not executed; for a read, it only causes another attempt.
+        A copied value is recognized, except that two reads of a key may have equal values, and two writes
+        equal receipts. A copied miss or rejection is not recognized: it would seem to prove that the request
+        was not executed. For an idempotent request it only causes another attempt.
         """
-        is_ok = self.status is AttemptStatus.OK
-        if command.is_write:
-            return is_ok and not self.is_write
-        return not is_ok or command.key != self.key
+        if self.status is not AttemptStatus.OK:
+            return is_idempotent
+        return command.key != self.key and not (command.is_write and self.is_write)
 
     def is_repeated_by(self, response: UpstreamResponse) -> bool:
         """Return whether a response to a later request has the value of this one: it is a copy of it."""
--- a/cache_router/net/connection_pool.py
+++ b/cache_router/net/connection_pool.py
@@ -9,7 +9,6 @@
 
 from cache_router.decisions.events import AttemptStatus
 from cache_router.net.address import parse_address
-from cache_router.net.command import Command
 from cache_router.net.idle_connection_set import IdleConnectionSet
 from cache_router.net.upstream_attempt import UpstreamAttempt, UpstreamResponse
 from cache_router.net.upstream_connection import ConnectionOwner, UpstreamConnection
@@ -80,7 +79,7 @@
             incarnation: Incarnation of the server. A connection to an incarnation that is not equal is not
                 reused.
         """
-        connection = self._take_idle(address, incarnation, attempt.command)
+        connection = self._take_idle(address, incarnation, attempt)
         if connection is not None:
             connection.send(attempt)
         elif self._ensure_capacity():
@@ -127,8 +126,10 @@
             connection.abort()
         attempt.finish(UpstreamResponse(status))
 
-    def _take_idle(self, address: str, incarnation: object, command: Command) -> UpstreamConnection | None:
-        """Return the longest-idle connection to a server that may carry a command, if there is one.
+    def _take_idle(
+        self, address: str, incarnation: object, attempt: UpstreamAttempt
+    ) -> UpstreamConnection | None:
+        """Return the longest-idle connection to a server that may carry an attempt, if there is one.
 
         A late second response is least likely to arrive on the connection that has been idle for longest.
         """
@@ -139,7 +140,7 @@
             elif self._idle.idle_since(connection) > idle_before:
                 # All other connections became idle later.
                 return None
-            elif connection.may_carry(command):
+            elif connection.may_carry(attempt):
                 self._idle.discard(connection)
                 if connection.is_usable():
                     return connection
--- a/cache_router/net/upstream_attempt.py
+++ b/cache_router/net/upstream_attempt.py
@@ -47,6 +47,7 @@
     Attributes:
         command: The command to send.
         precondition: Called before the request is written on a new connection.
+        is_idempotent: Whether the request may be executed more than once.
         number: Index of the attempt among the attempts of its request, from 0.
         started_at: Creation time in seconds, on the clock of the caller.
         is_open: Whether the attempt is neither finished nor abandoned.
@@ -59,6 +60,7 @@
         "_on_completed",
         "_timeout_timer",
         "command",
+        "is_idempotent",
         "is_open",
         "number",
         "precondition",
@@ -72,6 +74,7 @@
         on_completed: CompletionCallback,
         *,
         precondition: Precondition = no_precondition,
+        is_idempotent: bool = False,
         number: int = 0,
         started_at: float = 0.0,
     ) -> None:
@@ -83,11 +86,13 @@
             on_completed: Called with the response when the attempt finishes; not called if it is abandoned.
             precondition: Called once a new connection is established, before the first byte is written.
                 While the connection was being opened, the client or the server may have changed state.
+            is_idempotent: Whether the request may be executed more than once.
             number: Index of the attempt among the attempts of its request, from 0.
             started_at: Creation time in seconds, on the clock of the caller.
         """
         self.command = command
         self.precondition = precondition
+        self.is_idempotent = is_idempotent
         self.number = number
         self.started_at = started_at
         self.is_open = True
--- a/cache_router/net/upstream_connection.py
+++ b/cache_router/net/upstream_connection.py
@@ -85,9 +85,10 @@
         """Return whether part of the final response, not only of an informational one, was received."""
         return True
 
-    def may_carry(self, command: Command) -> bool:
-        """Return whether a second response to the last request can't be mistaken for that to `command`."""
-        return self._last_exchange is None or self._last_exchange.may_precede(command)
+    def may_carry(self, attempt: UpstreamAttempt) -> bool:
+        """Return whether a second response to the last request would do no harm to an attempt."""
+        last = self._last_exchange
+        return last is None or last.may_precede(attempt.command, attempt.is_idempotent)
 
     def is_usable(self) -> bool:
         """Return whether an idle connection may carry a request.
--- a/tests/cache_router/net/test_second_responses.py
+++ b/tests/cache_router/net/test_second_responses.py
@@ -5,6 +5,7 @@
 import fcntl
 import struct
 import termios
+from dataclasses import replace
 
 import pytest
 
@@ -16,11 +17,15 @@
 from cache_router.net.origin_connection import OriginConnection
 from cache_router.net.upstream_attempt import UpstreamResponse
 from cache_router.net.upstream_connection import UpstreamConnection
-from tests.support.loopback import Peer, PeerConnection, encode_hit, encode_http_response
+from cache_router.settings import Idempotency, RequestClass
+from tests.support.loopback import MISS, Peer, PeerConnection, encode_hit, encode_http_response, encode_read
+from tests.support.loopback_router import READ, SETTINGS, Router, router_with
 from tests.support.upstream_attempts import GET, OTHER_GET, AttemptRecorder, AttemptRecorders
 
 PUT = Command(b"C.SET", b"written", b"r3", {"c": "book", "d": "900"}, 900, b"slot")
 OTHER_PUT = Command(b"C.SET", b"other", b"r4", {"c": "book", "d": "900"}, 900, b"slot")
+ONCE = RequestClass("once", 1.0, Idempotency.NOT_IDEMPOTENT)
+SETTINGS_WITH_ONCE = replace(SETTINGS, classes={"read": READ, "once": ONCE})
 OK = UpstreamResponse(AttemptStatus.OK, b"value")
 EXCHANGES_UNTIL_ACKNOWLEDGEMENTS_ARE_DELAYED = 4
 
@@ -97,23 +102,37 @@
     attempts.start(peer.address, Command(b"C.GET", b"k%d" % number, b"r1", {"c": "read", "d": "900"}, 900))
 
 
+@router_with(reuse_delay=0.0, settings=SETTINGS_WITH_ONCE)
+async def test_copied_miss_does_not_repeat_a_request_that_is_not_idempotent(router: Router) -> None:
+    """The fault: a late copy of a miss seemed to prove that the next request on its connection never ran."""
+    router.list_caches("a")
+    client, cache = await router.start_read()
+    cache.write(MISS)
+    origin = await router.origin.accept_connection()
+    await origin.read_http()
+    origin.write(encode_http_response("200 OK", b"first"))
+    assert await client.read_resp() == b"first"
+    client.write(encode_read("r2", "another key", info="c=once,t=x,d=2000"))
+    assert (await (await router.cache()).read_resp())[2] == b"r2"  # on a new connection
+
+
 @pytest.mark.parametrize(
-    ("status", "command", "may_precede"),
+    ("status", "command", "is_idempotent", "may_precede"),
     [
-        (AttemptStatus.OK, OTHER_GET, True),
-        (AttemptStatus.OK, GET, False),
-        (AttemptStatus.OK, PUT, True),
-        (AttemptStatus.MISS, GET, True),
-        (AttemptStatus.REJECTED, OTHER_GET, True),
-        (AttemptStatus.REJECTED, PUT, False),  # a copy would seem to prove that the write was not executed
-        (AttemptStatus.MISS, PUT, False),
+        (AttemptStatus.OK, OTHER_GET, False, True),
+        (AttemptStatus.OK, GET, True, False),
+        (AttemptStatus.OK, PUT, False, True),
+        (AttemptStatus.MISS, GET, True, True),
+        (AttemptStatus.MISS, OTHER_GET, False, False),  # a copy would seem to prove that it was not executed
+        (AttemptStatus.REJECTED, OTHER_GET, True, True),
+        (AttemptStatus.REJECTED, PUT, False, False),
     ],
 )
 def test_connection_is_reused_only_if_a_copy_would_be_recognized(
-    status: AttemptStatus, command: Command, may_precede: bool
+    status: AttemptStatus, command: Command, is_idempotent: bool, may_precede: bool
 ) -> None:
     exchange = CompletedExchange.of(GET, UpstreamResponse(status))
-    assert exchange.may_precede(command) is may_precede
+    assert exchange.may_precede(command, is_idempotent) is may_precede
 
 
 def test_only_a_value_that_comes_again_is_a_copy() -> None:
--- a/tests/support/upstream_attempts.py
+++ b/tests/support/upstream_attempts.py
@@ -36,7 +36,7 @@
 
     def start(self, address: str, command: Command = GET, incarnation: object = None) -> UpstreamAttempt:
         """Start an attempt with a timeout of 0.5 s, and return it."""
-        attempt = UpstreamAttempt(command, 0.5, self._record)
+        attempt = UpstreamAttempt(command, 0.5, self._record, is_idempotent=not command.is_write)
         self.pool.start(attempt, address, incarnation)
         return attempt
 
