Soak: bursts of up to 120 commands, and requests without an answer in a shutdown are checked

Its pipelining clients sent 3 to 8 commands, and a request that was never forwarded was excused in every shutdown. Change: a fifth of the batches of pipelining clients has 33 to 120 commands. A request that was never forwarded and was sent long before its connection closed without a reply is lost; the bound is the time limit's slack and the router's pause, 0.2 s, with the observer's lag, and 1 s more without timing.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -41,6 +41,8 @@
     for request in observations.requests.values():
         if with_timing:
             found += _check_lateness(request, observations)
+        if not attempts[request.request_id] and not plan.idle_connections:
+            found += _check_unforwarded(request, observations, with_timing)
         found += _check_reply(request, attempts[request.request_id], plan, observations)
         found += _check_attempts(request, attempts[request.request_id], plan, run)
     found += _check_drains(run, with_timing)
@@ -105,6 +107,19 @@
         yield f"lost: {label} was never forwarded, and two connections were closed without a reply"
 
 
+def _check_unforwarded(request: SentRequest, observations: Observations, with_timing: bool) -> Iterator[str]:
+    """Check a request that was not forwarded: if it has no reply, it may only have crossed a close."""
+    closed_at = request.router_closed_at
+    if closed_at is None or request.answered_at is not None or _was_killed_at(closed_at, observations):
+        return
+    crossing = MAX_ROUTER_PAUSE + TIME_LIMIT_TOLERANCE + observations.max_lag
+    if not with_timing:
+        crossing += BUSY_MACHINE_TOLERANCE
+    if closed_at - request.sent_at > crossing:
+        seconds = closed_at - request.sent_at
+        yield f"lost: {request.request_id} was not forwarded, its connection was closed {seconds:.3f} s later"
+
+
 def _was_killed_at(time: float, observations: Observations) -> bool:
     return any(
         lifetime.was_killed and (lifetime.ended_at or 0.0) <= time for lifetime in observations.lifetimes
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -20,6 +20,9 @@
 RECONNECT_DELAY = 0.05  # seconds
 NOT_READING_TIME = 1.0  # seconds for which a client of kind NOT_READING reads nothing
 REST_TIME = 3.0  # seconds between the batches of a client of kind RESTING
+SMALL_BATCH = (3, 8)  # range of the requests that a client of kind PIPELINING sends at once
+LARGE_BATCH = (33, 120)  # more than a router processes at a time on one connection
+LARGE_BATCH_SHARE = 0.2
 MAX_BATCH_DEADLINES = 9  # replies to a batch arrive in order, and each may take until its own deadline
 MAX_SENDS = 2  # a request is sent again when its connection closes before the reply
 
@@ -110,7 +113,10 @@
                     )
 
     def _batch_size(self) -> int:
-        return self._generator.randint(3, 8) if self.kind is ClientKind.PIPELINING else 1
+        if self.kind is not ClientKind.PIPELINING:
+            return 1
+        is_large = self._generator.random() < LARGE_BATCH_SHARE
+        return self._generator.randint(*(LARGE_BATCH if is_large else SMALL_BATCH))
 
     def _next_request(self) -> SentRequest:
         if self._to_resend:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -12,6 +12,7 @@
 from cache_router.decisions import timers
 from cache_router.decisions.endpoint_polling import EndpointPoller
 from cache_router.decisions.retry_policy import RetryPolicy
+from cache_router.net.client_connection import ClientConnection
 from cache_router.net.completed_exchange import CompletedExchange
 from cache_router.net.endpoint_table import EndpointTable
 
@@ -59,12 +60,25 @@
     CompletedExchange.is_repeated_by = lambda *_: False  # type: ignore[method-assign]
 
 
+def further_commands_wait_while_draining() -> None:
+    """Do not process further commands of a connection after its last pending reply in a shutdown."""
+    process_input = ClientConnection._process_input
+
+    def process_unless_draining(connection: ClientConnection) -> None:
+        is_paused = not connection._reading_enabled and not connection._replies
+        if not (is_paused and connection._owner.draining):
+            process_input(connection)
+
+    ClientConnection._process_input = process_unless_draining  # type: ignore[method-assign, assignment]
+
+
 FAULTS: dict[str, Callable[[], None]] = {
     "overflow": overflow_after_many_failures,
     "timers": replaced_timers_fire,
     "signals": signals_have_their_default_effect,
     "drain": draining_servers_get_requests,
     "repeats": every_request_is_repeated,
+    "pipeline": further_commands_wait_while_draining,
     "copies": copies_of_responses_are_served,
 }
 
