--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -47,7 +47,7 @@
         found += _check_attempts(request, attempts[request.request_id], plan, run)
     found += _check_drains(run, with_timing)
     found += _check_polls(observations)
-    found += _check_processes(observations)
+    found += check_processes(observations)
     return found
 
 
@@ -251,7 +251,8 @@
             yield f"backoff: a poll began {pause:.3f} s after a failed one"
 
 
-def _check_processes(observations: Observations) -> Iterator[str]:
+def check_processes(observations: Observations) -> Iterator[str]:
+    """Yield the wrong exit statuses of processes, and the errors in their log."""
     for lifetime in observations.lifetimes:
         yield from _check_process(lifetime)
     for line in observations.log:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -8,6 +8,8 @@
 import random
 import signal
 import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import Any
 
@@ -42,12 +44,12 @@
         """Create the peers of a plan, which start in `execute`."""
         self.plan = plan
         self.observations = Observations()
-        self._network = Network(os.getpid())
+        self.network = Network(os.getpid())
         self._generator = random.Random(plan.seed)
         self._now = asyncio.get_running_loop().time
         self.caches = [self._create_cache(index) for index in range(plan.cache_count)]
-        self.origin = Origin("origin-1", self._network.origin, self._generator, self.observations)
-        self.discovery = Discovery([self._network.discovery(i) for i in range(2)], self.observations)
+        self.origin = Origin("origin-1", self.network.origin, self._generator, self.observations)
+        self.discovery = Discovery([self.network.discovery(i) for i in range(2)], self.observations)
         for index in range(plan.cache_count):
             self.discovery.registry.put(self.endpoint_entry(index))
         self.discovery.registry.put(self._origin_entry())
@@ -55,7 +57,7 @@
         cached_list = {"index": 1, "snapshot": True, "endpoints": entries}
         self.router = RouterProcess(
             plan,
-            network=self._network,
+            network=self.network,
             folder=folder,
             cached_list=cached_list,
             observations=self.observations,
@@ -63,12 +65,12 @@
         )
 
     def _create_cache(self, index: int) -> Cache:
-        address = self._network.cache(index)
+        address = self.network.cache(index)
         return Cache(f"cache-{index}", address, self.plan.is_cache_aside, self._generator, self.observations)
 
     def endpoint_entry(self, index: int, **changes: Any) -> dict[str, Any]:
         """Return a cache server's entry in the endpoint list."""
-        host, port = self._network.cache(index)
+        host, port = self.network.cache(index)
         entry = {
             "name": f"cache-{index}",
             "address": f"{host}:{port}",
@@ -82,32 +84,34 @@
         return {**entry, **changes}
 
     def _origin_entry(self) -> dict[str, Any]:
-        host, port = self._network.origin
+        host, port = self.network.origin
         return self.endpoint_entry(
             0, name="origin-1", address=f"{host}:{port}", type=ORIGIN_KIND, zone="a", group=9
         )
 
     async def execute(self) -> None:
         """Execute the whole plan, and end the router."""
+        async with self.running_peers() as background:
+            await self._execute_plan(background)
+
+    @asynccontextmanager
+    async def running_peers(self) -> AsyncIterator[list[asyncio.Task[None]]]:
+        """Run the router's peers; yield a list of tasks that are cancelled when the context ends.
+
+        The router's process is killed at the end if it is still running.
+        """
         background = [asyncio.create_task(self.observations.measure_lag())]
+        listeners = [*(c.listener for c in self.caches), self.origin.listener, *self.discovery.listeners]
         try:
-            for listener in (
-                *(c.listener for c in self.caches),
-                self.origin.listener,
-                *self.discovery.listeners,
-            ):
+            for listener in listeners:
                 await listener.open()
-            await self._execute_plan(background)
+            yield background
         finally:
             self.router.kill()
             for task in background:
                 task.cancel()
             await asyncio.gather(*background, return_exceptions=True)
-            for listener in (
-                *(c.listener for c in self.caches),
-                self.origin.listener,
-                *self.discovery.listeners,
-            ):
+            for listener in listeners:
                 listener.close()
 
     async def _execute_plan(self, background: list[asyncio.Task[None]]) -> None:
@@ -161,7 +165,7 @@
             Client(
                 f"{prefix}{n}",
                 kind,
-                address=self._network.router,
+                address=self.network.router,
                 classes=classes,
                 generator=random.Random(self.plan.seed + n),
                 observations=self.observations,
@@ -171,7 +175,7 @@
         load = [asyncio.create_task(client.run()) for client in clients]
         if self.plan.idle_connections:
             load.append(
-                asyncio.create_task(hold_idle_connections(self._network.router, self.plan.idle_connections))
+                asyncio.create_task(hold_idle_connections(self.network.router, self.plan.idle_connections))
             )
         return load
 
--- /dev/null
+++ b/tests/soak/test_floods.py
@@ -0,0 +1,40 @@
+"""Clients with few requests get their answers in time while other clients send at full speed.
+
+The time for which the router and this process waited for a core is added to each limit, so that the verdict
+is the same on a loaded machine.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from concurrent.futures import ProcessPoolExecutor
+
+import pytest
+
+from tests.soak.flood_run import run_flood
+from tests.soak.floods import FloodKind
+
+SEED = 1
+SECONDS = 2.0  # duration of a flood
+TIME_LIMIT = 60.0  # seconds; long enough for a busy machine
+MAX_LATE_SHARE = 0.01
+FLOODS = [
+    (FloodKind.PING,),
+    (FloodKind.NEW_NAMES,),
+    (FloodKind.UNSOUND, FloodKind.LEAVING),
+    (FloodKind.RECONNECTING, FloodKind.SHORT_FIELDS),
+]
+
+
+@pytest.mark.time_limit(TIME_LIMIT)
+@pytest.mark.parametrize("kinds", FLOODS, ids=lambda kinds: "+".join(kind.value for kind in kinds))
+async def test_other_clients_get_their_answers_in_time_during_a_flood(kinds: tuple[FloodKind, ...]) -> None:
+    """Guards against late and lost answers of clients beside one that uses up the processor (issue 37)."""
+    loop = asyncio.get_running_loop()
+    with ProcessPoolExecutor(1) as pool:
+        result = await loop.run_in_executor(pool, run_flood, kinds, SEED, SECONDS)
+    assert not result.faults, result
+    for summary in (result.kept, result.new):
+        assert summary.foreign == 0, result
+        assert summary.lost == 0, result
+        assert summary.late <= MAX_LATE_SHARE * summary.sent, result
