A turn of the event loop is shared among descriptors and clients, in rotation

A read of 64 KiB was processed to its end, 28 ms of PING, each reply with its own system call, and all ready sockets were processed before any timer or other socket came up again; replies to up to 32 requests of each connection then came back in one turn. Change: FairSelector returns at most 16 ready descriptors a turn, in rotation, and measures since when input has waited. InputScheduler gives each connection 0.5 ms, 3 ms a turn in all, new ones before those with a backlog (RFC 8290), and lowers the number of commands in flight per connection while the loop lags by more than 10 ms. A connection with a backlog is not read, so that the kernel holds its sender back. Replies of one turn are written together; nothing is written to a connection that is closing. ClientConnection is split into socket, command reader, replies and scheduling. Why it works: what a client can hold the loop with is bounded by time, not by its input, and a client with few requests waits for one round at most. Tests that named moved constants follow them; the fault 'pipeline' of the soak follows the new method.

--- a/cache_router/net/client_connection.py
+++ b/cache_router/net/client_connection.py
@@ -4,48 +4,24 @@
 
 import asyncio
 import logging
-from collections import deque
-from dataclasses import dataclass
+import time
 from functools import partial
 from typing import Protocol, cast
 
-from cache_router.net.address import Address
-from cache_router.net.command import MAX_INFO_SIZE, MAX_KEY_SIZE, MAX_VALUE_SIZE, CommandError, parse_command
+from cache_router.net.client_socket import ClientSocket
+from cache_router.net.command import CommandError, parse_command
+from cache_router.net.command_reader import CommandReader
 from cache_router.net.dispatcher import Dispatcher
-from cache_router.net.resp import INCOMPLETE, Message, RespError, RespReader
-from cache_router.net.socket_state import has_unread_bytes, is_hung_up
-
-# bytes buffered for an incomplete command
-MAX_COMMAND_SIZE = MAX_VALUE_SIZE + MAX_KEY_SIZE + MAX_INFO_SIZE + 4096
-MAX_COMMAND_PARTS = 16  # items of the array that encodes a command
-MAX_PIPELINED_COMMANDS = 32  # commands per connection whose replies are pending
-CLOSE_TIMEOUT = 0.5  # seconds that a closing connection waits for its client to read the last reply
+from cache_router.net.input_scheduler import InputScheduler
+from cache_router.net.pipelined_replies import PipelinedReply, ReplyQueue
+from cache_router.net.resp import INCOMPLETE, Message, RespError
+
 ERROR_THROTTLE_TIME = 0.1  # seconds for which a connection is not read after an error
 PONG_REPLY = b"+PONG\r\n"
 NOT_READY_REPLY = b"-ERR no cache server is known\r\n"
 log = logging.getLogger(__name__)
 
 
-@dataclass(slots=True, eq=False)
-class PipelinedReply:
-    """The reply to one command; a connection writes its replies in the order of the commands."""
-
-    request_id: str | None = None  # id of the request in the dispatcher, if there is one
-    data: bytes | None = None  # encoded reply, or None while it is pending
-
-    def start_request(self, request_id: str) -> None:
-        """Record the id of the request that this reply answers."""
-        self.request_id = request_id
-
-    def reject_request(self) -> None:
-        """Record that the dispatcher has not accepted the request."""
-        self.request_id = None
-
-    def complete(self, data: bytes) -> None:
-        """Set the bytes of the reply."""
-        self.data = data
-
-
 class ClientConnectionOwner(Protocol):
     """The state that connections share and the receiver of their reports; see `ClientConnectionTable`."""
 
@@ -57,6 +33,10 @@
     def read_buffer(self) -> memoryview:
         """The buffer into which the event loop reads for each connection."""
 
+    @property
+    def input_scheduler(self) -> InputScheduler:
+        """The scheduler that divides the time of the event loop among the connections."""
+
     def on_accepted(self, connection: ClientConnection) -> None:
         """Handle a new connection."""
 
@@ -76,16 +56,23 @@
         """Handle a connection that has closed; may be called twice."""
 
 
-class ClientConnection(asyncio.BufferedProtocol):
+class ClientConnection(ClientSocket):
     """One client's connection: reads commands, and writes their replies in order."""
 
-    def __init__(self, dispatcher: Dispatcher, owner: ClientConnectionOwner) -> None:
-        """Create a connection that sends requests to a dispatcher and reports its state to an owner."""
+    def __init__(
+        self, dispatcher: Dispatcher, owner: ClientConnectionOwner, queued_since: float | None = None
+    ) -> None:
+        """Create a connection that sends requests to a dispatcher and reports its state to an owner.
+
+        `queued_since` is the earliest time, on the monotonic clock, at which the kernel can have accepted the
+        connection; None if it is not known.
+        """
         self._dispatcher = dispatcher
         self._owner = owner
-        self._reader = RespReader(MAX_COMMAND_PARTS, MAX_VALUE_SIZE, MAX_COMMAND_SIZE)
-        self._replies: deque[PipelinedReply] = deque()
-        self._commands_received = 0  # number of complete commands
+        self._scheduler = owner.input_scheduler
+        self._commands = CommandReader(queued_since)
+        self._replies = ReplyQueue()
+        self._is_processing = False  # whether replies are collected, to be written together
         self._reading_enabled = True
         self._writing_enabled = True
         self._throttled = False  # whether reading is paused after an error
@@ -96,6 +83,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Report the new connection, which awaits its first command."""
         self._transport = cast(asyncio.Transport, transport)
+        self._descriptor: int = transport.get_extra_info("socket").fileno()
         self._owner.on_accepted(self)
 
     def get_buffer(self, sizehint: int) -> memoryview:
@@ -103,10 +91,11 @@
         return self._owner.read_buffer
 
     def buffer_updated(self, nbytes: int) -> None:
-        """Process new bytes in the shared buffer."""
+        """Process new bytes in the shared buffer, now or when it is the turn of this connection."""
         self._owner.on_data_received(self)
-        self._reader.feed(self._owner.read_buffer[:nbytes])
-        self._process_input()
+        ready_since = self._scheduler.turns.ready_since(self._descriptor)
+        self._commands.feed(self._owner.read_buffer[:nbytes], ready_since)
+        self._scheduler.schedule(self)
 
     def pause_writing(self) -> None:
         """Stop processing commands while the client does not read its replies."""
@@ -116,48 +105,55 @@
     def resume_writing(self) -> None:
         """Process the commands that have arrived since `pause_writing`."""
         self._writing_enabled = True
-        self._process_input()
+        self._scheduler.schedule(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Report the closed connection, and notify the dispatcher of each request in flight."""
+        self._scheduler.remove(self)
         self._owner.on_closed(self)
-        for reply in self._replies:
-            if reply.data is None and reply.request_id is not None:
-                self._dispatcher.on_client_disconnected(reply.request_id)
-        self._replies.clear()
+        for request_id in self._replies.clear():
+            self._dispatcher.on_client_disconnected(request_id)
 
     # Commands
 
-    def _process_input(self) -> None:
+    def process_input(self, until: float) -> bool:
+        """Process commands until a time of the monotonic clock; return whether more may follow at once."""
+        self._is_processing = True
         try:
-            self._process_commands()
+            has_more = self._process_commands(until)
         except Exception:
             # An unexpected error ends only this connection and its requests; other clients are still served.
             log.exception("closing connection of client %s after an unexpected error", self.client_address)
             self._transport.abort()
-
-    def _process_commands(self) -> None:
+            has_more = False
+        finally:
+            self._is_processing = False
+        self._write_replies()
+        self._update_reading(has_more)
+        self._report_state(has_more)
+        return has_more
+
+    def _process_commands(self, until: float) -> bool:
         # A closing connection starts no request: the disconnect of its client would not be reported for it.
         while self._accepts_commands() and not self._transport.is_closing():
             try:
-                parts = self._reader.next()
+                parts = self._commands.next()
             except RespError as e:
                 self.close_with_error(f"-ERR {e}")
-                return
+                return False
             if parts is INCOMPLETE:
-                break
-            self._commands_received += 1
+                return False
             self._handle_command(parts)
-        self._update_reading()
-        self._report_state()
+            if time.monotonic() >= until:
+                return self._accepts_commands() and not self._commands.is_empty()
+        return False
 
     def _handle_command(self, parts: Message) -> None:
-        reply = PipelinedReply()
-        self._replies.append(reply)
-        complete = partial(self._complete_reply, reply)
+        reply = self._replies.add()
         if isinstance(parts, list) and len(parts) == 1 and parts[0] in (b"PING", b"ping"):
-            complete(PONG_REPLY if self._dispatcher.has_ready_cache() else NOT_READY_REPLY)
+            self._complete_reply(reply, PONG_REPLY if self._dispatcher.has_ready_cache() else NOT_READY_REPLY)
             return
+        complete = partial(self._complete_reply, reply)
         try:
             command = parse_command(parts)
             reply.start_request(command.request_id.decode())
@@ -169,14 +165,19 @@
 
     def _accepts_commands(self) -> bool:
         blocked = self._closing_after_error or self._throttled or not self._writing_enabled
-        return not blocked and len(self._replies) < MAX_PIPELINED_COMMANDS
+        return not blocked and len(self._replies) < self._scheduler.pipeline_limit
 
-    def _update_reading(self) -> None:
-        """Read only while commands are accepted, which bounds the memory that a client occupies."""
-        reading = self._accepts_commands()
-        if reading != self._reading_enabled and not self._transport.is_closing():
-            self._reading_enabled = reading
-            (self._transport.resume_reading if reading else self._transport.pause_reading)()
+    def _update_reading(self, has_more: bool = False) -> None:
+        """Read only while commands are processed at once, which bounds the memory that a client occupies."""
+        reading = self._accepts_commands() and not has_more
+        if reading == self._reading_enabled or self._transport.is_closing():
+            return
+        self._reading_enabled = reading
+        if reading:
+            self._transport.resume_reading()
+        else:
+            self._commands.mark_unread_since(time.monotonic())
+            self._transport.pause_reading()
 
     def _throttle(self) -> None:
         """Pause reading for a while: a client that sends errors at full speed would use a whole core."""
@@ -185,35 +186,45 @@
 
     def _end_throttling(self) -> None:
         self._throttled = False
-        self._process_input()
+        self._scheduler.schedule(self)
 
     # Replies
 
     def _complete_reply(self, reply: PipelinedReply, data: bytes) -> None:
         """Complete a reply, and write all replies that precede the first pending one."""
         reply.complete(data)
-        while self._replies and (complete_data := self._replies[0].data) is not None:
-            self._replies.popleft()
-            self._transport.write(complete_data)
+        self._replies.on_completed()
+        if self._is_processing:
+            return
+        self._write_replies()
         if not self._replies:
-            self._report_state()
-            self._close_after_last_reply()
+            self._report_state(self._scheduler.is_waiting(self))
         if not self._reading_enabled and not self._transport.is_closing():
             # Further commands may be buffered, or unread in the socket, also while the router drains.
-            asyncio.get_running_loop().call_soon(self._process_input)
+            self._scheduler.schedule_later(self)
+
+    def _write_replies(self) -> None:
+        """Write the replies that precede the first pending one, and close after the last one if due."""
+        data = self._replies.take_complete()
+        if not data or self._transport.is_closing():
+            return
+        self._transport.write(data)
+        if not self._replies:
+            self._close_after_last_reply()
 
     def _close_after_last_reply(self) -> None:
         """Close the connection if no further reply will be written on it."""
         if self._closing_after_error:
-            self._close()
+            self.close()
         elif self._owner.draining and self._writing_enabled:
             # Close now, before the client sends its next request.
             self.close_if_between_requests()
 
-    def _report_state(self) -> None:
-        if self._replies or self._closing_after_error or self._throttled:
+    def _report_state(self, has_more: bool) -> None:
+        """Report the state; `has_more` tells whether input waits to be processed."""
+        if self._replies or self._closing_after_error or self._throttled or has_more:
             self._owner.on_busy(self)
-        elif not self._reader.is_empty() or not self._commands_received:
+        elif not self._commands.is_empty() or not self._commands.count:
             self._owner.on_awaiting_command(self)
         else:
             self._owner.on_idle(self)
@@ -230,22 +241,14 @@
         self._closing_after_error = True
         # Input that arrives while earlier replies are pending would be buffered and never processed.
         self._update_reading()
-        self._reader.clear()
-        reply = PipelinedReply()
-        self._replies.append(reply)
+        self._commands.clear()
+        reply = self._replies.add()
         self._complete_reply(reply, error.encode("ascii", "replace") + b"\r\n")
 
     def close_if_between_requests(self) -> None:
         """Close the connection unless a part of a command has arrived."""
-        if self._reader.is_empty() and not self.has_unread_input():
-            self._close()
-
-    def _close(self) -> None:
-        """Close once the buffered replies have been sent, or after CLOSE_TIMEOUT at the latest."""
-        self._transport.close()
-        if self.has_unsent_output():
-            # A client that does not read its replies would hold the descriptor until its process ends.
-            asyncio.get_running_loop().call_later(CLOSE_TIMEOUT, self._transport.abort)
+        if self._commands.is_empty() and not self.has_unread_input():
+            self.close()
 
     def abort(self) -> None:
         """Close immediately, discard buffered output, and report the connection as closed.
@@ -257,12 +260,6 @@
 
     # Queries
 
-    @property
-    def client_address(self) -> Address | None:
-        """The address of the client, or None if it had disconnected before its connection was accepted."""
-        address = self._transport.get_extra_info("peername")
-        return Address(*address) if address else None
-
     @property
     def pending_replies(self) -> int:
         """The number of commands whose replies have not been written."""
@@ -270,42 +267,18 @@
 
     def has_sent_single_command(self) -> bool:
         """Return whether exactly one complete command has arrived."""
-        return self._commands_received == 1
+        return self._commands.count == 1
 
     def has_buffered_input(self) -> bool:
         """Return whether a command, or a part of one, has been read and not processed."""
-        return not self._reader.is_empty()
-
-    def has_unread_input(self) -> bool:
-        """Return whether a command may wait in the socket."""
-        return has_unread_bytes(self._transport)
-
-    def has_unsent_output(self) -> bool:
-        """Return whether a part of a reply is still buffered."""
-        return bool(self._transport.get_write_buffer_size())
-
-    def has_pending_io(self) -> bool:
-        """Return whether a part of a reply is buffered, or a new command may wait in the socket."""
-        return self.has_unsent_output() or self.has_unread_input()
-
-    def is_reading(self) -> bool:
-        """Return whether the event loop reads from the socket."""
-        return self._transport.is_reading()
+        return not self._commands.is_empty()
 
     def is_throttled_only(self) -> bool:
         """Return whether the connection is throttled, has no reply pending and is not closing."""
         return self._throttled and not self._replies and not self._closing_after_error
 
-    def is_hung_up(self) -> bool:
-        """Return whether the client has closed or reset the connection, or the router has closed it.
-
-        This asks the kernel. The end of the stream follows all input, so that the event loop reads it late,
-        or never while reading is paused.
-        """
-        return is_hung_up(self._transport)
-
     def is_connected(self) -> bool:
         """Return whether the client is still connected, and start closing the connection if it is not."""
         if not self._transport.is_closing() and self.is_hung_up():
-            self._close()
+            self.close()
         return not self._transport.is_closing()
--- a/cache_router/net/listener.py
+++ b/cache_router/net/listener.py
@@ -12,6 +12,7 @@
 from cache_router.net.client_connection_table import ClientConnectionTable, OpenConnection
 from cache_router.net.dispatcher import Dispatcher
 from cache_router.net.eviction import Evictor
+from cache_router.net.fair_selector import LoopTurns
 
 ACCEPT_BACKLOG = 512  # connections that the kernel queues until they are accepted
 # seconds to wait after a failed accept; when descriptors run out, immediate retries would use a whole core
@@ -22,10 +23,13 @@
 class Listener:
     """Accepts clients within a budget of connections, and drains them on shutdown."""
 
-    def __init__(self, dispatcher: Dispatcher, max_connections: int) -> None:
-        """Create a listener that is not bound yet; clients may use `max_connections` descriptors."""
+    def __init__(self, dispatcher: Dispatcher, max_connections: int, turns: LoopTurns | None = None) -> None:
+        """Create a listener that is not bound yet; clients may use `max_connections` descriptors.
+
+        `turns` measures the turns of the event loop, if it has a `FairSelector`.
+        """
         self._dispatcher = dispatcher
-        self._connections = ClientConnectionTable()
+        self._connections = ClientConnectionTable(turns)
         longest_client_timeout = max(c.client_timeout for c in dispatcher.settings.classes.values())
         self._evictor = Evictor(self._connections, max_connections, longest_client_timeout)
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
--- a/cache_router/net/resp.py
+++ b/cache_router/net/resp.py
@@ -84,6 +84,11 @@
         """Append received bytes to the buffer."""
         self._buffer += data
 
+    @property
+    def buffered_size(self) -> int:
+        """Number of bytes that are buffered and not part of a returned message."""
+        return len(self._buffer)
+
     def is_empty(self) -> bool:
         """Return whether no byte of a further message is buffered."""
         return not self._buffer
--- a/cache_router/program.py
+++ b/cache_router/program.py
@@ -8,6 +8,7 @@
 import sys
 
 from cache_router.config import Config, ConfigError, config_path, load_config
+from cache_router.net.fair_selector import FairSelector, LoopTurns
 from cache_router.process_signals import block_signals
 from cache_router.server import serve
 
@@ -20,17 +21,20 @@
     logging.basicConfig(level=logging.INFO, format=LOG_FORMAT)
     try:
         path = config_path(os.environ)
-        asyncio.run(_serve_until_shutdown(load_config(path), path))
+        config = load_config(path)
+        selector = FairSelector()
+        with asyncio.Runner(loop_factory=lambda: asyncio.SelectorEventLoop(selector)) as runner:
+            runner.run(_serve_until_shutdown(config, path, selector))
     except ConfigError as error:
         print(f"cache_router: {error}", file=sys.stderr)
         return CONFIG_ERROR_STATUS
     return 0
 
 
-async def _serve_until_shutdown(config: Config, path: str) -> None:
+async def _serve_until_shutdown(config: Config, path: str, turns: LoopTurns) -> None:
     """Serve until shutdown, then block signals, so that none of them changes the exit status.
 
     The event loop removes its signal handlers when it closes, before the interpreter has exited.
     """
-    await serve(config, path)
+    await serve(config, path, turns)
     block_signals()
--- a/cache_router/server.py
+++ b/cache_router/server.py
@@ -14,6 +14,7 @@
 from cache_router.net.connection_pool import ConnectionPool
 from cache_router.net.discovery import Discovery
 from cache_router.net.dispatcher import Dispatcher
+from cache_router.net.fair_selector import LoopTurns
 from cache_router.net.listener import Listener
 from cache_router.net.origin_connection import OriginConnection
 from cache_router.process_signals import unblock_signals
@@ -31,9 +32,11 @@
     It must be created within a running event loop.
     """
 
-    def __init__(self, config: Config, config_path: str) -> None:
+    def __init__(self, config: Config, config_path: str, turns: LoopTurns | None = None) -> None:
         """Create the components of the router; no connection is opened yet.
 
+        `turns` measures the turns of the event loop, if it has a `FairSelector`.
+
         Raises:
             ConfigError: this process may open too few file descriptors.
         """
@@ -54,7 +57,7 @@
             self._updates_are_pushed,
             budget=settings.watch_budget,
         )
-        self._listener = Listener(self._dispatcher, budget.clients)
+        self._listener = Listener(self._dispatcher, budget.clients, turns)
         self._terminated = asyncio.Event()
 
     async def run(self) -> None:
@@ -147,10 +150,12 @@
         await self._listener.stop(schedule.accept_until, schedule.close_until - schedule.accept_until)
 
 
-async def serve(config: Config, config_path: str) -> None:
+async def serve(config: Config, config_path: str, turns: LoopTurns | None = None) -> None:
     """Run one router until it is terminated; SIGHUP reloads the file at `config_path`.
 
+    `turns` measures the turns of the event loop, if it has a `FairSelector`.
+
     Raises:
         ConfigError: the process may open too few file descriptors, or the listen address cannot be bound.
     """
-    await RouterServer(config, config_path).run()
+    await RouterServer(config, config_path, turns).run()
--- a/tests/cache_router/net/test_client_connection.py
+++ b/tests/cache_router/net/test_client_connection.py
@@ -8,7 +8,9 @@
 
 from cache_router.net import client_connection
 from cache_router.net.address import Address
-from cache_router.net.client_connection import MAX_PIPELINED_COMMANDS, ClientConnection, PipelinedReply
+from cache_router.net.client_connection import ClientConnection
+from cache_router.net.input_scheduler import MAX_PIPELINED_COMMANDS
+from cache_router.net.pipelined_replies import PipelinedReply
 from tests.support.event_order import wait_until
 from tests.support.loopback import HIT, PeerConnection, encode_command, encode_read, error_text
 from tests.support.loopback_router import Router, router_with
--- a/tests/cache_router/net/test_disconnect_races.py
+++ b/tests/cache_router/net/test_disconnect_races.py
@@ -10,7 +10,7 @@
 
 from cache_router.decisions.actions import Send
 from cache_router.decisions.events import Timer, TimerFired, TimerKind
-from cache_router.net import client_connection
+from cache_router.net import input_scheduler
 from cache_router.net.client_connection import ClientConnection
 from cache_router.net.upstream_attempt import UpstreamAttempt, UpstreamResponse
 from tests.support.event_order import (
@@ -139,7 +139,7 @@
     client = blocking_client(router)
     connection = await connection_of(router, client)
     if cause == "pipeline":
-        monkeypatch.setattr(client_connection, "MAX_PIPELINED_COMMANDS", 1)
+        monkeypatch.setattr(input_scheduler, "MAX_PIPELINED_COMMANDS", 1)
         client.sendall(encode_read("r0"))
         assert (await cache.read_resp())[2] == b"r0"
     elif cause == "error":
--- a/tests/cache_router/net/test_unread_disconnects.py
+++ b/tests/cache_router/net/test_unread_disconnects.py
@@ -7,6 +7,7 @@
 import pytest
 
 from cache_router.net import client_connection
+from cache_router.net.input_scheduler import MAX_PIPELINED_COMMANDS
 from tests.support.event_order import record_written_requests, wait_until
 from tests.support.loopback import (
     HIT,
@@ -93,7 +94,7 @@
     """Input beyond the limit of pipelined commands stays unread, and so does the end of the stream."""
     written = record_written_requests(monkeypatch)
     client, cache = await router.start_read("r0")
-    request_ids = [f"r{n}" for n in range(1, 2 * client_connection.MAX_PIPELINED_COMMANDS)]
+    request_ids = [f"r{n}" for n in range(1, 2 * MAX_PIPELINED_COMMANDS)]
     client.write(b"".join(encode_read(n) for n in request_ids))
     await wait_until(lambda: not router.client_connections()[0].is_reading())
     await disconnect(router, client)
--- a/tests/cache_router/test_shutdown.py
+++ b/tests/cache_router/test_shutdown.py
@@ -11,7 +11,7 @@
 import pytest
 
 from cache_router.net import client_connection_table
-from cache_router.net.client_connection import MAX_PIPELINED_COMMANDS
+from cache_router.net.input_scheduler import MAX_PIPELINED_COMMANDS
 from tests.support.coroutine_tests import DEFAULT_TIME_LIMIT
 from tests.support.endpoint_lists import encode_endpoint_list
 from tests.support.event_order import wait_until
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -62,14 +62,13 @@
 
 def further_commands_wait_while_draining() -> None:
     """Do not process further commands of a connection after its last pending reply in a shutdown."""
-    process_input = ClientConnection._process_input
+    process_input = ClientConnection.process_input
 
-    def process_unless_draining(connection: ClientConnection) -> None:
+    def process_unless_draining(connection: ClientConnection, until: float) -> bool:
         is_paused = not connection._reading_enabled and not connection._replies
-        if not (is_paused and connection._owner.draining):
-            process_input(connection)
+        return not (is_paused and connection._owner.draining) and process_input(connection, until)
 
-    ClientConnection._process_input = process_unless_draining  # type: ignore[method-assign, assignment]
+    ClientConnection.process_input = process_unless_draining  # type: ignore[method-assign, assignment]
 
 
 FAULTS: dict[str, Callable[[], None]] = {
