--- a/cache_router/net/client_connection.py
+++ b/cache_router/net/client_connection.py
@@ -72,6 +72,7 @@
         self._scheduler = owner.input_scheduler
         self._commands = CommandReader(queued_since)
         self._replies = ReplyQueue()
+        self._last_reply_at = 0.0  # time at which the last reply was written, on the monotonic clock
         self._is_processing = False  # whether replies are collected, to be written together
         self._reading_enabled = True
         self._writing_enabled = True
@@ -157,12 +158,20 @@
         try:
             command = parse_command(parts)
             reply.start_request(command.request_id.decode())
-            self._dispatcher.accept(command, complete, self.is_connected)
+            self._dispatcher.accept(command, complete, self.is_connected, self._waited())
         except CommandError as e:
             reply.reject_request()
             self._throttle()
             complete(b"-ERR %b\r\n" % str(e).encode("ascii", "replace"))
 
+    def _waited(self) -> float:
+        """Return the seconds since the last processed command arrived.
+
+        The time in which it waited for the replies ahead of it does not count.
+        """
+        arrived_at = self._commands.last_arrived_at()
+        return max(0.0, time.monotonic() - max(arrived_at, self._last_reply_at))
+
     def _accepts_commands(self) -> bool:
         blocked = self._closing_after_error or self._throttled or not self._writing_enabled
         return not blocked and len(self._replies) < self._scheduler.pipeline_limit
@@ -208,6 +217,7 @@
         data = self._replies.take_complete()
         if not data or self._transport.is_closing():
             return
+        self._last_reply_at = time.monotonic()
         self._transport.write(data)
         if not self._replies:
             self._close_after_last_reply()
--- a/cache_router/net/dispatcher.py
+++ b/cache_router/net/dispatcher.py
@@ -203,7 +203,11 @@
     # Requests
 
     def accept(
-        self, command: Command, respond: Callable[[bytes], None], is_connected: Callable[[], bool]
+        self,
+        command: Command,
+        respond: Callable[[bytes], None],
+        is_connected: Callable[[], bool],
+        waited: float = 0.0,
     ) -> None:
         """Accept a request.
 
@@ -211,13 +215,14 @@
             command: The request.
             respond: Called once with the final answer, unless the client disconnects first.
             is_connected: Returns whether the client is connected according to the kernel.
+            waited: Seconds since the request arrived, which the client's deadline includes.
 
         Raises:
             CommandError: The request can't be accepted; `respond` is then never called.
         """
         request_id = command.request_id.decode()
         request_class = self._check(command, request_id)
-        time_left = max(0.0, command.deadline_ms / 1000 - DEADLINE_MARGIN)
+        time_left = max(0.0, command.deadline_ms / 1000 - DEADLINE_MARGIN - waited)
         time_left = self.requests.add(
             request_id, command, time_left, respond=respond, is_connected=is_connected
         )
--- a/cache_router/net/fair_selector.py
+++ b/cache_router/net/fair_selector.py
@@ -18,6 +18,9 @@
 # Seconds from which a call of `select` counts as having waited. A call that finds ready descriptors returns
 # sooner.
 MIN_WAIT = 0.0002
+MAX_WAKEUP_DELAY = (
+    0.005  # seconds after its timeout at which a call of `select` returns, unless it is held up
+)
 
 ReadyEvent = tuple[selectors.SelectorKey, int]
 
@@ -79,9 +82,7 @@
         self.on_turn_ended(ended_at - self.started_at)
         ready = super().select(timeout)
         now = time.monotonic()
-        has_waited = now - ended_at > MIN_WAIT
-        # What is ready at once may have arrived at any time since the last call.
-        self._default_ready_since = now if has_waited else self.started_at
+        self._default_ready_since = self._earliest_arrival(ended_at, now, timeout)
         self.started_at = now
         self._selected_since, self._deferred_since = self._deferred_since, {}
         self.lag = now - min((self.ready_since(key.fd) for key, _ in ready), default=now)
@@ -98,6 +99,15 @@
         """Return the earliest time at which the input of a descriptor of this turn can have arrived."""
         return self._selected_since.get(descriptor, self._default_ready_since)
 
+    def _earliest_arrival(self, called_at: float, now: float, timeout: float | None) -> float:
+        """Return the earliest time at which what a call of `select` returns `now` can have arrived."""
+        waited = now - called_at
+        if waited <= MIN_WAIT:
+            return self.started_at  # ready at once: it may have arrived at any time since the last call
+        if timeout is not None and waited > timeout + MAX_WAKEUP_DELAY:
+            return called_at  # the process was held up, and may have missed the end of its wait
+        return now
+
     def _choose(self, ready: list[ReadyEvent]) -> list[ReadyEvent]:
         """Return the descriptors that follow the last one of the previous turn, and defer the others."""
         ready.sort(key=lambda event: (event[0].fd <= self._last_descriptor, event[0].fd))
--- a/tests/cache_router/net/test_fair_selector.py
+++ b/tests/cache_router/net/test_fair_selector.py
@@ -94,3 +94,21 @@
         time.sleep(0.01)
         selector.select(0)
     assert lengths[-1] >= 0.01
+
+
+def test_input_during_a_pause_of_the_process_counts_from_its_start(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A process that gets no core, or is suspended, does not know when its wait has ended."""
+    near, far = socket.socketpair()
+    with near, far, registered([far]) as selector:
+        select = selectors.DefaultSelector.select
+
+        def held_up(self: selectors.DefaultSelector, timeout: float | None = None) -> object:
+            near.send(b"x")
+            time.sleep(0.05)
+            return select(self, timeout)
+
+        monkeypatch.setattr(selectors.DefaultSelector, "select", held_up)
+        called_at = time.monotonic()
+        selector.select(0.01)
+        assert selector.ready_since(far.fileno()) <= selector.started_at - 0.05
+        assert selector.ready_since(far.fileno()) >= called_at
--- a/tests/support/loopback_router.py
+++ b/tests/support/loopback_router.py
@@ -17,6 +17,7 @@
 from cache_router.net.discovery import Discovery
 from cache_router.net.dispatcher import Dispatcher
 from cache_router.net.endpoint_table import NetworkEndpoint
+from cache_router.net.fair_selector import LoopTurns
 from cache_router.net.listener import Listener
 from cache_router.net.origin_connection import OriginConnection
 from cache_router.settings import Idempotency, IdempotencyScope, RequestClass, Settings, WatchBudget
@@ -61,6 +62,7 @@
         with_endpoints: bool = True,
         max_clients: int = 16,
         reuse_delay: float = 0.0,
+        turns: LoopTurns | None = None,
     ) -> None:
         """Create a router that starts when its context is entered.
 
@@ -69,6 +71,7 @@
             with_endpoints: whether the router starts with an endpoint list of all servers.
             max_clients: most connections of clients.
             reuse_delay: seconds after a response before its connection carries the next attempt.
+            turns: times of the turns of the event loop.
         """
         self.with_endpoints = with_endpoints
         self.subscriptions = 0
@@ -79,7 +82,7 @@
         self.cache_pool = ConnectionPool(CacheConnection, 16, 1.0, 60.0, reuse_delay)
         self.origin_pool = ConnectionPool(OriginConnection, 16, 1.0, 60.0, reuse_delay)
         self.dispatcher = Dispatcher(settings, 1, self.cache_pool, self.origin_pool, self._subscribe)
-        self.listener = Listener(self.dispatcher, max_clients)
+        self.listener = Listener(self.dispatcher, max_clients, turns)
 
     def _subscribe(self) -> None:
         self.subscriptions += 1
