Clients are accepted together, and the fault of one delays no other

Cause: the accepting task waited for each client's connection before the next accept, one turn of the event loop or more for each; every failed accept paused it for 0.1 s, whatever its cause. Change: up to 32 clients are accepted in the turn in which they are found (net/accepting.py) and opened together. Errors of accept(2) that concern one client (ECONNABORTED, EPROTO and pending network errors) are skipped; lack of resources pauses for 10 ms, doubled up to 0.1 s. A new connection knows since when it may have been queued, for the deadline of its requests. Measured: the tests failed before (five errors of accept: no reply within the time limit; 18 turns for 8 clients) and pass now.

--- a/cache_router/net/listener.py
+++ b/cache_router/net/listener.py
@@ -7,16 +7,20 @@
 import socket
 from contextlib import suppress
 
+from cache_router.net.accepting import AcceptedBatch, AcceptedClient, accept_batch
 from cache_router.net.address import Address
 from cache_router.net.client_connection import ClientConnection
 from cache_router.net.client_connection_table import ClientConnectionTable, OpenConnection
 from cache_router.net.dispatcher import Dispatcher
 from cache_router.net.eviction import Evictor
-from cache_router.net.fair_selector import LoopTurns
+from cache_router.net.fair_selector import LoopTurns, UnmeasuredTurns
 
 ACCEPT_BACKLOG = 512  # connections that the kernel queues until they are accepted
-# seconds to wait after a failed accept; when descriptors run out, immediate retries would use a whole core
-ACCEPT_RETRY_DELAY = 0.1
+MAX_ACCEPTS_PER_TURN = 32
+# Range of the delay in seconds after an accept that failed for lack of resources. It doubles with each
+# failure: immediate retries would use a whole core.
+MIN_ACCEPT_RETRY_DELAY = 0.01
+MAX_ACCEPT_RETRY_DELAY = 0.1
 log = logging.getLogger(__name__)
 
 
@@ -29,6 +33,11 @@
         `turns` measures the turns of the event loop, if it has a `FairSelector`.
         """
         self._dispatcher = dispatcher
+        self._max_connections = max_connections
+        self._turns = turns or UnmeasuredTurns()
+        # Earliest time on the monotonic clock at which the kernel can have queued the next client.
+        self._queued_since: float | None = None
+        self._opening: list[asyncio.Task[None]] = []  # create the connections of accepted clients
         self._connections = ClientConnectionTable(turns)
         longest_client_timeout = max(c.client_timeout for c in dispatcher.settings.classes.values())
         self._evictor = Evictor(self._connections, max_connections, longest_client_timeout)
@@ -79,49 +88,75 @@
 
     async def _accept_clients(self) -> None:
         """Accept clients until draining has started and the kernel's backlog is empty."""
+        retry_delay = MIN_ACCEPT_RETRY_DELAY
         while True:
-            try:
-                client, client_address = self._socket.accept()
-            except (BlockingIOError, InterruptedError):
+            batch = self._accept_batch()
+            if batch.is_backlog_empty and not self._opening:
                 if self._connections.draining:
                     break
                 await self._wait_for_pending_connection()
-                continue
-            except OSError as e:
-                log.warning("accepting on %s failed: %s", self.address, e)
-                await asyncio.sleep(ACCEPT_RETRY_DELAY)
-                continue
-            try:
-                await self._open_connection(client, Address(*client_address))
-                await self._evictor.evict_excess()
-            except Exception:
-                # The loop continues: other clients are still to be accepted.
-                log.exception("accepting client %s failed", Address(*client_address))
+            await self._finish_opening()
+            if batch.error is None:
+                retry_delay = MIN_ACCEPT_RETRY_DELAY
+            else:
+                log.warning("accepting on %s failed: %s", self.address, batch.error)
+                await asyncio.sleep(retry_delay)
+                retry_delay = min(2 * retry_delay, MAX_ACCEPT_RETRY_DELAY)
         # Close now: a connection that the kernel queues later would be reset, and its request lost.
         self._socket.close()
         self._connections.notify_change()
 
-    async def _open_connection(self, client: socket.socket, address: Address) -> None:
+    def _accept_batch(self) -> AcceptedBatch:
+        """Accept queued clients, and start to create their connections."""
+        # One client more than the budget: the evictor then closes another connection.
+        room = self._max_connections + 1 - len(self._connections)
+        batch = accept_batch(self._socket, min(MAX_ACCEPTS_PER_TURN, max(1, room)))
+        self._opening += [asyncio.create_task(self._open_connection(client)) for client in batch.clients]
+        return batch
+
+    async def _finish_opening(self) -> None:
+        """Wait until accepted clients have their connections, and evict others if there are too many."""
+        try:
+            await asyncio.gather(*self._opening)
+            await self._evictor.evict_excess()
+        except Exception:
+            # The listener continues: other clients are still to be accepted.
+            log.exception("evicting connections failed")
+        finally:
+            self._opening.clear()
+
+    async def _open_connection(self, client: AcceptedClient) -> None:
         """Create a client's connection on an accepted socket."""
-        client.setblocking(False)
         try:
+            client.socket.setblocking(False)
             await asyncio.get_running_loop().connect_accepted_socket(
-                lambda: ClientConnection(self._dispatcher, self._connections), client
+                lambda: ClientConnection(self._dispatcher, self._connections, self._queued_since),
+                client.socket,
             )
         except OSError as e:
-            log.warning("accepting client %s failed: %s", address, e)
-            client.close()
+            log.warning("accepting client %s failed: %s", client.address, e)
+            client.socket.close()
+        except Exception:
+            log.exception("accepting client %s failed", client.address)
+            client.socket.close()
 
     async def _wait_for_pending_connection(self) -> None:
         """Wait until a client connects or draining starts."""
         loop = asyncio.get_running_loop()
-        loop.add_reader(self._socket, self._connection_pending.set)
+        loop.add_reader(self._socket, self._on_connection_pending)
         try:
             await self._connection_pending.wait()
             self._connection_pending.clear()
         finally:
             loop.remove_reader(self._socket)
 
+    def _on_connection_pending(self) -> None:
+        """Accept clients in the turn of the event loop in which they are found, and wake the task."""
+        if not self._connection_pending.is_set():
+            self._queued_since = self._turns.ready_since(self._socket.fileno())
+            self._accept_batch()
+            self._connection_pending.set()
+
     async def stop(self, accept_time: float, drain_timeout: float) -> None:
         """Shut down gracefully: accept for `accept_time` more seconds, then drain.
 
--- a/tests/cache_router/net/test_client_connection.py
+++ b/tests/cache_router/net/test_client_connection.py
@@ -11,7 +11,7 @@
 from cache_router.net.client_connection import ClientConnection
 from cache_router.net.input_scheduler import MAX_PIPELINED_COMMANDS
 from cache_router.net.pipelined_replies import PipelinedReply
-from tests.support.event_order import wait_until
+from tests.support.event_order import record_written_requests, wait_until
 from tests.support.loopback import HIT, PeerConnection, encode_command, encode_read, error_text
 from tests.support.loopback_router import Router, router_with
 
@@ -151,9 +151,13 @@
     assert not connection.is_reading()
 
 
-async def test_no_request_is_accepted_from_a_closing_connection(router: Router) -> None:
+async def test_no_request_is_accepted_from_a_closing_connection(
+    router: Router, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """The client has disconnected: its request would be processed until the deadline for nobody."""
+    written = record_written_requests(monkeypatch)
     _client, connection = await client_with_full_pipeline(router)
+    await wait_until(lambda: "r0" in written)  # it stays in flight when its client is gone
     connection.abort()
     router.dispatcher.requests.respond("r0", b"-ERR failed\r\n")
     await wait_until(lambda: not connection.pending_replies)
--- a/tests/cache_router/net/test_listener.py
+++ b/tests/cache_router/net/test_listener.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import errno
+import os
 import socket
 
 import pytest
 
 from cache_router.net import listener
+from tests.support.event_order import wait_until
 from tests.support.loopback import HIT, encode_command
 from tests.support.loopback_router import Router
 
@@ -31,7 +33,7 @@
     monkeypatch.setattr(socket.socket, "accept", failing)
     first = await router.client()
     first.write(encode_command("PING"))
-    await asyncio.sleep(3 * listener.ACCEPT_RETRY_DELAY)
+    await asyncio.sleep(3 * listener.MAX_ACCEPT_RETRY_DELAY)
     assert 1 <= calls <= 10  # one call per pause; a busy loop would make thousands
     assert f"accepting on {address} failed: [Errno {errno.EMFILE}]" in caplog.text
     exhausted = False
@@ -66,3 +68,52 @@
     await shutdown
     with pytest.raises(ConnectionRefusedError):
         await asyncio.open_connection(*busy.writer.get_extra_info("peername"))
+
+
+class FaultyAccepts:
+    """Lets the listener's accepts fail with an error while it is set."""
+
+    def __init__(self, router: Router, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Replace `socket.accept` for the listening socket of a router."""
+        self.errors: list[int] = []  # numbers of the errors with which the next accepts fail
+        accept, address = socket.socket.accept, router.listener.address
+
+        def accept_or_fail(listening: socket.socket) -> tuple[socket.socket, object]:
+            if self.errors and listening.getsockname() == address:
+                number = self.errors.pop(0)
+                raise OSError(number, os.strerror(number))
+            return accept(listening)
+
+        monkeypatch.setattr(socket.socket, "accept", accept_or_fail)
+
+
+@pytest.mark.parametrize(
+    "number", [errno.ECONNABORTED, errno.EPROTO, errno.EPERM, errno.ETIMEDOUT, errno.EHOSTUNREACH]
+)
+async def test_client_that_disconnects_before_it_is_accepted_delays_no_other(
+    router: Router, monkeypatch: pytest.MonkeyPatch, number: int
+) -> None:
+    """Guards against a pause of all accepts for the fault of one client (issue 38)."""
+    monkeypatch.setattr(listener, "MIN_ACCEPT_RETRY_DELAY", 60.0)
+    faults = FaultyAccepts(router, monkeypatch)
+    faults.errors = [number] * 3
+    client = await router.client()
+    await client.ping()
+    assert not faults.errors
+
+
+async def test_clients_are_accepted_together(router: Router, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against one turn of the event loop, or more, for each client that connects (issue 37)."""
+    clients = [await router.clients.connect(router.listener.address) for _ in range(8)]
+    await wait_until(lambda: len(router.listener.open_connections()) == len(clients))
+    for client in clients:
+        client.reset()
+    await wait_until(lambda: not router.listener.open_connections())
+    turns = 0
+    sockets = [socket.create_connection(router.listener.address) for _ in range(8)]
+    while len(router.listener.open_connections()) < len(sockets):
+        turns += 1
+        await asyncio.sleep(0)
+    for each in sockets:
+        each.close()
+    assert turns <= 5
