Counters of the event loop's load, an overload line in the log, and a bound on the log

Change: LoadStatistics counts turns over 10 ms by cause, inputs deferred, reads paused, requests rejected, and accepts and connects that failed, by error. LoadMonitor logs them when an overload starts, at growing intervals and when it ends. LogLimit lets each statement write 100 lines in 10 s and tells how many were left out. RUNBOOK has a section 'Other clients got late answers', and says that nothing is kept on disk. Measured: tests of the counters, the monitor and the bound pass; with a bound of 20 lines test_address_changes.py failed, whose 30 changes of address are each logged, so it is 100.

--- a/cache_router/net/accepting.py
+++ b/cache_router/net/accepting.py
@@ -42,6 +42,7 @@
     """The clients that were accepted at once, and why there were no more of them."""
 
     clients: list[AcceptedClient] = field(default_factory=list)
+    client_errors: list[OSError] = field(default_factory=list)  # each of one client that is gone
     is_backlog_empty: bool = False
     error: OSError | None = None  # lack of a resource of this machine, which a later accept may find again
 
@@ -59,6 +60,7 @@
             if error.errno not in CLIENT_ERRORS:
                 batch.error = error
                 break
+            batch.client_errors.append(error)
         else:
             batch.clients.append(AcceptedClient(client, Address(*address)))
     return batch
--- a/cache_router/net/client_connection.py
+++ b/cache_router/net/client_connection.py
@@ -119,6 +119,7 @@
 
     def process_input(self, until: float) -> bool:
         """Process commands until a time of the monotonic clock; return whether more may follow at once."""
+        has_more = False
         self._is_processing = True
         try:
             has_more = self._process_commands(until)
@@ -126,9 +127,7 @@
             # An unexpected error ends only this connection and its requests; other clients are still served.
             log.exception("closing connection of client %s after an unexpected error", self.client_address)
             self._transport.abort()
-            has_more = False
-        finally:
-            self._is_processing = False
+        self._is_processing = False
         self._write_replies()
         self._update_reading(has_more)
         self._report_state(has_more)
@@ -151,10 +150,10 @@
 
     def _handle_command(self, parts: Message) -> None:
         reply = self._replies.add()
+        complete = partial(self._complete_reply, reply)
         if isinstance(parts, list) and len(parts) == 1 and parts[0] in (b"PING", b"ping"):
-            self._complete_reply(reply, PONG_REPLY if self._dispatcher.has_ready_cache() else NOT_READY_REPLY)
+            complete(PONG_REPLY if self._dispatcher.has_ready_cache() else NOT_READY_REPLY)
             return
-        complete = partial(self._complete_reply, reply)
         try:
             command = parse_command(parts)
             reply.start_request(command.request_id.decode())
@@ -173,8 +172,9 @@
         return max(0.0, time.monotonic() - max(arrived_at, self._last_reply_at))
 
     def _accepts_commands(self) -> bool:
-        blocked = self._closing_after_error or self._throttled or not self._writing_enabled
-        return not blocked and len(self._replies) < self._scheduler.pipeline_limit
+        if self._closing_after_error or self._throttled or not self._writing_enabled:
+            return False
+        return len(self._replies) < self._scheduler.pipeline_limit
 
     def _update_reading(self, has_more: bool = False) -> None:
         """Read only while commands are processed at once, which bounds the memory that a client occupies."""
@@ -186,6 +186,7 @@
             self._transport.resume_reading()
         else:
             self._commands.mark_unread_since(time.monotonic())
+            self._dispatcher.statistics.count_paused_read()
             self._transport.pause_reading()
 
     def _throttle(self) -> None:
@@ -268,8 +269,6 @@
         self._transport.abort()
         self._owner.on_closed(self)
 
-    # Queries
-
     @property
     def pending_replies(self) -> int:
         """The number of commands whose replies have not been written."""
--- a/cache_router/net/client_connection_table.py
+++ b/cache_router/net/client_connection_table.py
@@ -9,6 +9,7 @@
 
 from cache_router.net.fair_selector import LoopTurns, UnmeasuredTurns
 from cache_router.net.input_scheduler import InputScheduler
+from cache_router.net.load_statistics import LoadStatistics
 
 READ_BUFFER_SIZE = 64 * 1024  # bytes
 # seconds that a client has to send a command before it may be evicted, however many connections there are
@@ -51,12 +52,12 @@
     command. Times are those of the event loop, in seconds.
     """
 
-    def __init__(self, turns: LoopTurns | None = None) -> None:
+    def __init__(self, turns: LoopTurns | None = None, statistics: LoadStatistics | None = None) -> None:
         """Create an empty table; an event loop need not run yet.
 
-        `turns` measures the turns of the event loop, if it has a `FairSelector`.
+        `turns` measures the turns of the event loop, if it has a `FairSelector`, `statistics` its load.
         """
-        self.input_scheduler = InputScheduler(turns or UnmeasuredTurns())
+        self.input_scheduler = InputScheduler(turns or UnmeasuredTurns(), statistics or LoadStatistics())
         self.draining = False  # whether connections close as soon as no reply is pending on them
         # One buffer serves all connections: each copies its bytes out before another connection reads.
         self.read_buffer = memoryview(bytearray(READ_BUFFER_SIZE))
--- a/cache_router/net/dispatcher.py
+++ b/cache_router/net/dispatcher.py
@@ -25,6 +25,7 @@
     SubscribeToEndpoints,
 )
 from cache_router.decisions.events import (
+    AttemptCompleted,
     ClientDisconnected,
     DiscoveryAddressChanged,
     EndpointUpdate,
@@ -47,6 +48,7 @@
 from cache_router.net.connection_pool import ConnectionPool
 from cache_router.net.endpoint_table import EndpointTable, EndpointUpdateError, NetworkEndpoint
 from cache_router.net.event_recovery import FAILED_REPLY, EventRecovery
+from cache_router.net.load_statistics import LoadStatistics, TurnCause
 from cache_router.net.request_table import RequestInFlight, RequestTable
 from cache_router.settings import Idempotency, RequestClass, Settings
 
@@ -57,6 +59,13 @@
 # digits of a cost hint in microseconds; a longer number might not fit a float
 MAX_COST_HINT_DIGITS = 12
 
+# Causes of the time that an event takes; that of a request is a part of the time for its client's input.
+TURN_CAUSES = {
+    AttemptCompleted: TurnCause.RESPONSES,
+    EndpointUpdate: TurnCause.ENDPOINT_UPDATES,
+    TimerFired: TurnCause.TIMERS,
+}
+
 log = logging.getLogger(__name__)
 
 
@@ -73,6 +82,7 @@
 
     Attributes:
         settings: The operators' settings.
+        statistics: Counters of the load on the event loop.
         router: The decision module, which handles the events.
         requests: The requests in flight.
         endpoints: The endpoints that the router knows.
@@ -85,6 +95,8 @@
         caches: ConnectionPool,
         origins: ConnectionPool,
         subscribe: Callable[[], None],
+        *,
+        statistics: LoadStatistics | None = None,
     ) -> None:
         """Create a dispatcher without endpoints.
 
@@ -94,8 +106,10 @@
             caches: Connections to cache servers.
             origins: Connections to origins.
             subscribe: Called when the decision module requests a poll for endpoint updates.
+            statistics: Counters of the load on the event loop; new ones if None.
         """
         self.settings = settings
+        self.statistics = statistics or LoadStatistics()
         self._subscribe = subscribe
         self._clock = Clock()
         self.router = Router(settings, seed, self._clock.now())
@@ -138,14 +152,18 @@
         An exception in either is logged once. If the decision module raises, the actions that it decided
         before are executed, and `EventRecovery` handles the event, so that no other event is affected.
         """
+        started_at = self._clock.now()
         try:
-            actions = self.router.handle(self._clock.now(), event)
+            actions = self.router.handle(started_at, event)
         except Exception:
             log.exception("event %s can't be handled", type(event).__name__)
             self._execute_all(self.router.decided_actions())
             self._recovery.recover_from(event)
         else:
             self._execute_all(actions)
+        cause = TURN_CAUSES.get(type(event))
+        if cause is not None:
+            self.statistics.add_time(cause, self._clock.now() - started_at)
 
     def _execute_all(self, actions: list[Action]) -> None:
         for action in actions:
--- a/cache_router/net/input_scheduler.py
+++ b/cache_router/net/input_scheduler.py
@@ -9,6 +9,7 @@
 from typing import Protocol
 
 from cache_router.net.fair_selector import LoopTurns
+from cache_router.net.load_statistics import LoadStatistics, TurnCause
 
 MAX_PIPELINED_COMMANDS = 32  # commands per connection whose replies are pending
 
@@ -37,8 +38,9 @@
         pipeline_limit: Number of commands of one connection that may be in flight.
     """
 
-    def __init__(self, turns: LoopTurns) -> None:
-        """Create a scheduler; `turns` measures the turns of the event loop."""
+    def __init__(self, turns: LoopTurns, statistics: LoadStatistics) -> None:
+        """Create a scheduler; `turns` measures the turns of the event loop, `statistics` counts."""
+        self._statistics = statistics
         self.pipeline_limit = MAX_PIPELINED_COMMANDS
         self._turns = turns
         self._new: deque[InputSource] = deque()
@@ -80,6 +82,7 @@
             (self._new if source in self._new else self._old).remove(source)
 
     def _enqueue(self, source: InputSource, queue: deque[InputSource]) -> None:
+        self._statistics.count_deferred_input()
         self._waiting.add(source)
         queue.append(source)
         if self._wakeup is None:
@@ -100,7 +103,9 @@
     def _process(self, source: InputSource, is_new: bool) -> None:
         started_at = time.monotonic()
         has_more = source.process_input(started_at + QUANTUM)
-        self._time_left -= time.monotonic() - started_at
+        elapsed = time.monotonic() - started_at
+        self._time_left -= elapsed
+        self._statistics.add_time(TurnCause.CLIENT_INPUT, elapsed)
         if source not in self._waiting and (has_more or (is_new and self._old)):
             self._enqueue(source, self._old)
 
--- a/cache_router/net/listener.py
+++ b/cache_router/net/listener.py
@@ -38,7 +38,7 @@
         # Earliest time on the monotonic clock at which the kernel can have queued the next client.
         self._queued_since: float | None = None
         self._opening: list[asyncio.Task[None]] = []  # create the connections of accepted clients
-        self._connections = ClientConnectionTable(turns)
+        self._connections = ClientConnectionTable(turns, dispatcher.statistics)
         longest_client_timeout = max(c.client_timeout for c in dispatcher.settings.classes.values())
         self._evictor = Evictor(self._connections, max_connections, longest_client_timeout)
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -99,6 +99,7 @@
             if batch.error is None:
                 retry_delay = MIN_ACCEPT_RETRY_DELAY
             else:
+                self._dispatcher.statistics.count_failed_accept(batch.error)
                 log.warning("accepting on %s failed: %s", self.address, batch.error)
                 await asyncio.sleep(retry_delay)
                 retry_delay = min(2 * retry_delay, MAX_ACCEPT_RETRY_DELAY)
@@ -111,6 +112,8 @@
         # One client more than the budget: the evictor then closes another connection.
         room = self._max_connections + 1 - len(self._connections)
         batch = accept_batch(self._socket, min(MAX_ACCEPTS_PER_TURN, max(1, room)))
+        for error in batch.client_errors:
+            self._dispatcher.statistics.count_failed_accept(error)
         self._opening += [asyncio.create_task(self._open_connection(client)) for client in batch.clients]
         return batch
 
--- a/cache_router/server.py
+++ b/cache_router/server.py
@@ -10,12 +10,15 @@
 from cache_router.config import Config, ConfigError, load_config
 from cache_router.decisions.events import EndpointUpdateKind
 from cache_router.descriptor_budget import DescriptorBudget, usable_descriptors
+from cache_router.log_limit import LogLimit
 from cache_router.net.cache_connection import CacheConnection
 from cache_router.net.connection_pool import ConnectionPool
 from cache_router.net.discovery import Discovery
 from cache_router.net.dispatcher import Dispatcher
-from cache_router.net.fair_selector import LoopTurns
+from cache_router.net.fair_selector import FairSelector
 from cache_router.net.listener import Listener
+from cache_router.net.load_monitor import LoadMonitor
+from cache_router.net.load_statistics import LoadStatistics
 from cache_router.net.origin_connection import OriginConnection
 from cache_router.process_signals import unblock_signals
 from cache_router.shutdown_schedule import ShutdownSchedule
@@ -32,10 +35,20 @@
     It must be created within a running event loop.
     """
 
-    def __init__(self, config: Config, config_path: str, turns: LoopTurns | None = None) -> None:
+    def __init__(
+        self,
+        config: Config,
+        config_path: str,
+        selector: FairSelector | None = None,
+        log_limit: LogLimit | None = None,
+    ) -> None:
         """Create the components of the router; no connection is opened yet.
 
-        `turns` measures the turns of the event loop, if it has a `FairSelector`.
+        Args:
+            config: The configuration.
+            config_path: Path of the file from which it was read, and is read again on SIGHUP.
+            selector: The selector of the event loop, if it is a `FairSelector`.
+            log_limit: The bound on the log, if it has one.
 
         Raises:
             ConfigError: this process may open too few file descriptors.
@@ -43,11 +56,16 @@
         self._config = config
         self._config_path = config_path
         settings = config.settings
+        statistics = LoadStatistics()
+        if selector is not None:
+            selector.on_turn_ended = statistics.on_turn_ended
+        self._load_monitor = LoadMonitor(statistics, log_limit or LogLimit())
         budget = DescriptorBudget.divide(usable_descriptors(config.max_descriptors))
         timeouts = settings.connect_timeout, settings.connection_idle_timeout
         self._caches = ConnectionPool(CacheConnection, budget.caches, *timeouts)
         self._origin = ConnectionPool(OriginConnection, budget.origin, *timeouts)
-        self._dispatcher = Dispatcher(settings, config.seed, self._caches, self._origin, self._subscribe)
+        pools = self._caches, self._origin
+        self._dispatcher = Dispatcher(settings, config.seed, *pools, self._subscribe, statistics=statistics)
         self._updates_are_pushed = not settings.must_subscribe
         self._discovery = Discovery(
             config.discovery,
@@ -57,7 +75,7 @@
             self._updates_are_pushed,
             budget=settings.watch_budget,
         )
-        self._listener = Listener(self._dispatcher, budget.clients, turns)
+        self._listener = Listener(self._dispatcher, budget.clients, selector)
         self._terminated = asyncio.Event()
 
     async def run(self) -> None:
@@ -76,8 +94,10 @@
                 return  # nothing to drain: no client can have connected yet
             self._listener.start()
             log.info("listening on %s", self._listener.address)
+            monitor = asyncio.create_task(self._load_monitor.run())
             await self._terminated.wait()
             await self._drain()
+            monitor.cancel()
 
     def _subscribe(self) -> None:
         """Start a watch; the dispatcher calls this when the decisions request one."""
@@ -150,12 +170,14 @@
         await self._listener.stop(schedule.accept_until, schedule.close_until - schedule.accept_until)
 
 
-async def serve(config: Config, config_path: str, turns: LoopTurns | None = None) -> None:
+async def serve(
+    config: Config, config_path: str, selector: FairSelector | None = None, log_limit: LogLimit | None = None
+) -> None:
     """Run one router until it is terminated; SIGHUP reloads the file at `config_path`.
 
-    `turns` measures the turns of the event loop, if it has a `FairSelector`.
+    `selector` is that of the running event loop, if it is a `FairSelector`, `log_limit` the bound on the log.
 
     Raises:
         ConfigError: the process may open too few file descriptors, or the listen address cannot be bound.
     """
-    await RouterServer(config, config_path, turns).run()
+    await RouterServer(config, config_path, selector, log_limit).run()
--- a/tests/cache_router/net/test_input_scheduler.py
+++ b/tests/cache_router/net/test_input_scheduler.py
@@ -9,6 +9,7 @@
 
 from cache_router.net import input_scheduler
 from cache_router.net.input_scheduler import MAX_LAG, MAX_PIPELINED_COMMANDS, QUANTUM, InputScheduler
+from cache_router.net.load_statistics import LoadStatistics
 
 
 class Turns:
@@ -47,7 +48,7 @@
 async def test_connection_with_much_input_does_not_delay_the_others() -> None:
     """Guards against one client that keeps the event loop from all others (issue 37)."""
     order: list[str] = []
-    scheduler = InputScheduler(Turns())
+    scheduler = InputScheduler(Turns(), LoadStatistics())
     scheduler.schedule(Source("flood", 100, order))
     for name in ("a", "b"):
         scheduler.schedule(Source(name, 1, order))
@@ -60,7 +61,7 @@
     monkeypatch.setattr(input_scheduler, "TURN_BUDGET", 3 * QUANTUM)
     order: list[str] = []
     turns = Turns()
-    scheduler = InputScheduler(turns)
+    scheduler = InputScheduler(turns, LoadStatistics())
     sources = [Source(str(n), 10, order) for n in range(5)]
     for expected in range(1, 5):
         turns.next()
@@ -74,7 +75,7 @@
 async def test_all_input_is_processed_in_later_turns() -> None:
     order: list[str] = []
     turns = Turns()
-    scheduler = InputScheduler(turns)
+    scheduler = InputScheduler(turns, LoadStatistics())
     sources = [Source(str(n), 10, order) for n in range(20)]
     for source in sources:
         scheduler.schedule(source)
@@ -87,7 +88,7 @@
 async def test_connection_that_has_closed_is_not_processed() -> None:
     order: list[str] = []
     turns = Turns()
-    scheduler = InputScheduler(turns)
+    scheduler = InputScheduler(turns, LoadStatistics())
     flood = Source("flood", 100, order)
     scheduler.schedule(flood)
     before = list(order)
@@ -100,7 +101,7 @@
 
 async def test_number_of_commands_in_flight_falls_with_the_lag_and_recovers() -> None:
     turns = Turns()
-    scheduler = InputScheduler(turns)
+    scheduler = InputScheduler(turns, LoadStatistics())
     source = Source("a", 0, [])
     limits = []
     for lag in [2 * MAX_LAG] * 8 + [0.0] * 40:
--- a/tests/project/test_runbook.py
+++ b/tests/project/test_runbook.py
@@ -19,7 +19,7 @@
     "Not to be confused with",
     "What to do",
 ]
-ALARM_COUNT = 14
+ALARM_COUNT = 15
 
 
 def test_runbook_has_each_log_line_and_no_other() -> None:
