A request that cannot be answered in time is rejected before decisions and attempts

Cause: each request was accepted, whatever it had waited; the router's own load was no reason for a rejection. Change: Dispatcher.accept rejects a request whose time is used up by its wait and the lag of the event loop, with that time as Retry-After, and counts it. No attempt has been sent, so that a rejection is safe for each class. Requests with less time than DEADLINE_MARGIN go to the decisions as before. Why it works: an answer would be handled after the client's time, as the loop is late by at least the lag; an idle loop has none, so that the limit does not bite there. Measured: both cases failed before (the decisions rejected it, or r1 was written to a server) and pass now.

--- a/cache_router/net/client_connection.py
+++ b/cache_router/net/client_connection.py
@@ -11,7 +11,7 @@
 from cache_router.net.client_socket import ClientSocket
 from cache_router.net.command import CommandError, parse_command
 from cache_router.net.command_reader import CommandReader
-from cache_router.net.dispatcher import Dispatcher
+from cache_router.net.dispatcher import Dispatcher, RequestDelays
 from cache_router.net.input_scheduler import InputScheduler
 from cache_router.net.pipelined_replies import PipelinedReply, ReplyQueue
 from cache_router.net.resp import INCOMPLETE, Message, RespError
@@ -157,19 +157,17 @@
         try:
             command = parse_command(parts)
             reply.start_request(command.request_id.decode())
-            self._dispatcher.accept(command, complete, self.is_connected, self._waited())
+            self._dispatcher.accept(command, complete, self.is_connected, self._delays())
         except CommandError as e:
             reply.reject_request()
             self._throttle()
             complete(b"-ERR %b\r\n" % str(e).encode("ascii", "replace"))
 
-    def _waited(self) -> float:
-        """Return the seconds since the last processed command arrived.
-
-        The time in which it waited for the replies ahead of it does not count.
-        """
+    def _delays(self) -> RequestDelays:
+        """Return the delays of the present command, without its wait for the replies ahead of it."""
         arrived_at = self._commands.last_arrived_at()
-        return max(0.0, time.monotonic() - max(arrived_at, self._last_reply_at))
+        waited = max(0.0, time.monotonic() - max(arrived_at, self._last_reply_at))
+        return RequestDelays(waited, self._scheduler.turns.lag)
 
     def _accepts_commands(self) -> bool:
         if self._closing_after_error or self._throttled or not self._writing_enabled:
--- a/cache_router/net/dispatcher.py
+++ b/cache_router/net/dispatcher.py
@@ -12,6 +12,7 @@
 import math
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from cache_router.decisions.actions import (
     Action,
@@ -75,6 +76,23 @@
     return int(hint) / 1e6 if hint.isdigit() and len(hint) <= MAX_COST_HINT_DIGITS else None
 
 
+def encode_rejection(retry_after: float) -> bytes:
+    """Return the reply that a request was rejected, with its Retry-After in milliseconds unless it is 0 s."""
+    retry_after_ms = math.ceil(retry_after * 1000)
+    return b"-BUSY %d\r\n" % retry_after_ms if retry_after_ms else b"-BUSY\r\n"
+
+
+@dataclass(slots=True, frozen=True)
+class RequestDelays:
+    """The delays of a request by the event loop, in seconds, which the client's deadline includes."""
+
+    waited: float  # time since its arrival
+    lag: float  # time for which its response is likely to wait
+
+
+NO_DELAYS = RequestDelays(waited=0.0, lag=0.0)
+
+
 class Dispatcher:
     """Accepts requests, passes events to the decision module, and executes its actions and timers.
 
@@ -225,7 +243,7 @@
         command: Command,
         respond: Callable[[bytes], None],
         is_connected: Callable[[], bool],
-        waited: float = 0.0,
+        delays: RequestDelays = NO_DELAYS,
     ) -> None:
         """Accept a request.
 
@@ -233,14 +251,18 @@
             command: The request.
             respond: Called once with the final answer, unless the client disconnects first.
             is_connected: Returns whether the client is connected according to the kernel.
-            waited: Seconds since the request arrived, which the client's deadline includes.
+            delays: What the event loop takes of the client's time.
 
         Raises:
             CommandError: The request can't be accepted; `respond` is then never called.
         """
         request_id = command.request_id.decode()
         request_class = self._check(command, request_id)
-        time_left = max(0.0, command.deadline_ms / 1000 - DEADLINE_MARGIN - waited)
+        time_allowed = max(0.0, command.deadline_ms / 1000 - DEADLINE_MARGIN)
+        if 0 < time_allowed <= delays.waited + delays.lag:
+            self._reject_late_request(respond, delays)
+            return
+        time_left = max(0.0, time_allowed - delays.waited)
         time_left = self.requests.add(
             request_id, command, time_left, respond=respond, is_connected=is_connected
         )
@@ -282,7 +304,11 @@
             self._recovery.fail_after_grace(request.request_id)
 
     def _reject(self, action: Reject) -> None:
-        """Reply that a request was rejected, with its Retry-After in milliseconds if it has one."""
-        retry_after_ms = math.ceil(action.retry_after * 1000)
-        answer = b"-BUSY %d\r\n" % retry_after_ms if retry_after_ms else b"-BUSY\r\n"
-        self.requests.respond(action.request_id, answer)
+        """Reply that a request was rejected."""
+        self.requests.respond(action.request_id, encode_rejection(action.retry_after))
+
+    def _reject_late_request(self, respond: Callable[[bytes], None], delays: RequestDelays) -> None:
+        """Reject a request before any decision: its response would be handled after the client's deadline."""
+        self.statistics.count_rejected_request()
+        retry_after = min(self.settings.max_retry_after, delays.waited + delays.lag)
+        respond(encode_rejection(retry_after))
--- a/tests/cache_router/net/test_request_arrival.py
+++ b/tests/cache_router/net/test_request_arrival.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import time
+from functools import partial
+
+import pytest
 
 from cache_router.net.client_connection import ERROR_THROTTLE_TIME
 from cache_router.net.dispatcher import DEADLINE_MARGIN
-from tests.support.event_order import wait_until
+from tests.support.event_order import record_written_requests, wait_until
 from tests.support.loopback import encode_command, encode_read, error_text
 from tests.support.loopback_router import Router, router_with
 
@@ -72,3 +75,34 @@
     command = await (await router.cache()).read_resp()
     elapsed = time.monotonic() - started_at
     assert deadline_of(command) >= DEADLINE - DEADLINE_MARGIN - elapsed - ROUNDING
+
+
+class LaggingTurns(LateTurns):
+    """Turns of an event loop that handles what arrives now only after a while."""
+
+    lag = 0.5
+
+    def ready_since(self, _descriptor: int) -> float:
+        return time.monotonic()
+
+
+@pytest.mark.parametrize(
+    ("router", "deadline_ms"),
+    [(partial(Router, turns=LateTurns()), 600), (partial(Router, turns=LaggingTurns()), 400)],
+    ids=["waited", "lag"],
+    indirect=["router"],
+)
+async def test_request_that_cannot_be_answered_in_time_is_rejected_at_once(
+    router: Router, deadline_ms: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against an event loop whose time goes into requests that fail anyway (issue 37)."""
+    written = record_written_requests(monkeypatch)
+    client = await router.client()
+    client.write(encode_read("r1", info=f"c=read,t=x,d={deadline_ms}"))
+    assert error_text(await client.read_resp()).startswith("BUSY")
+    assert not written
+    assert not router.dispatcher.router.pending
+    assert router.dispatcher.statistics.rejected_requests == 1
+    client.write(encode_read("r2"))
+    cache = await router.cache()
+    assert (await cache.read_resp())[2] == b"r2"
