Clients with little input come first, and others are read only in their turn

Cause: a connection whose input waited for its turn was still read, 64 KiB each turn of the event loop; and the sockets of hundreds of such clients, all ready, made a round of the selector long. A connection with more is not read while it waits, and while others wait it is read again only in its turn. Tried before: as in RFC 8290 by new and old (a kept modest connection waits a round of 300), and by processor time used of late (300 clients at full speed each use less than a modest one).

--- a/cache_router/net/client_connection.py
+++ b/cache_router/net/client_connection.py
@@ -12,7 +12,7 @@
 from cache_router.net.command import CommandError, parse_command
 from cache_router.net.command_reader import CommandReader
 from cache_router.net.dispatcher import Dispatcher, RequestDelays
-from cache_router.net.input_scheduler import InputScheduler
+from cache_router.net.input_scheduler import MAX_SMALL_INPUT, InputScheduler
 from cache_router.net.pipelined_replies import PipelinedReply, ReplyQueue
 from cache_router.net.resp import INCOMPLETE, Message, RespError
 
@@ -74,7 +74,6 @@
         self._replies = ReplyQueue()
         self._last_reply_at = 0.0  # time at which the last reply was written, on the monotonic clock
         self._is_processing = False  # whether replies are collected, to be written together
-        self._reading_enabled = True
         self._writing_enabled = True
         self._throttled = False  # whether reading is paused after an error
         self._closing_after_error = False  # if set, no further command is processed
@@ -97,6 +96,8 @@
         ready_since = self._scheduler.turns.ready_since(self._descriptor)
         self._commands.feed(self._owner.read_buffer[:nbytes], ready_since)
         self._scheduler.schedule(self)
+        if self._scheduler.is_waiting(self) and self.input_size > MAX_SMALL_INPUT:
+            self._update_reading()
 
     def pause_writing(self) -> None:
         """Stop processing commands while the client does not read its replies."""
@@ -119,19 +120,22 @@
 
     def process_input(self, until: float) -> bool:
         """Process commands until a time of the monotonic clock; return whether more may follow at once."""
-        has_more = False
         self._is_processing = True
         try:
-            has_more = self._process_commands(until)
+            return self._process_commands(until)
         except Exception:
             # An unexpected error ends only this connection and its requests; other clients are still served.
             log.exception("closing connection of client %s after an unexpected error", self.client_address)
             self._transport.abort()
-        self._is_processing = False
-        self._write_replies()
-        self._update_reading(has_more)
-        self._report_state(has_more)
-        return has_more
+            return False
+        finally:
+            self._is_processing = False
+            self._write_replies()
+
+    def on_input_processed(self) -> None:
+        """Read on, unless the scheduler has more input of this connection to process first."""
+        self._update_reading()
+        self._report_state()
 
     def _process_commands(self, until: float) -> bool:
         # A closing connection starts no request: the disconnect of its client would not be reported for it.
@@ -174,18 +178,12 @@
             return False
         return len(self._replies) < self._scheduler.pipeline_limit
 
-    def _update_reading(self, has_more: bool = False) -> None:
+    def _update_reading(self) -> None:
         """Read only while commands are processed at once, which bounds the memory that a client occupies."""
-        reading = self._accepts_commands() and not has_more
-        if reading == self._reading_enabled or self._transport.is_closing():
-            return
-        self._reading_enabled = reading
-        if reading:
-            self._transport.resume_reading()
-        else:
+        reading = self._accepts_commands() and not self._scheduler.is_waiting(self)
+        if self.set_reading(reading) and not reading:
             self._commands.mark_unread_since(time.monotonic())
             self._dispatcher.statistics.count_paused_read()
-            self._transport.pause_reading()
 
     def _throttle(self) -> None:
         """Pause reading for a while: a client that sends errors at full speed would use a whole core."""
@@ -206,7 +204,7 @@
             return
         self._write_replies()
         if not self._replies:
-            self._report_state(self._scheduler.is_waiting(self))
+            self._report_state()
         if not self._reading_enabled and not self._transport.is_closing():
             # Further commands may be buffered, or unread in the socket, also while the router drains.
             self._scheduler.schedule_later(self)
@@ -229,9 +227,9 @@
             # Close now, before the client sends its next request.
             self.close_if_between_requests()
 
-    def _report_state(self, has_more: bool) -> None:
-        """Report the state; `has_more` tells whether input waits to be processed."""
-        if self._replies or self._closing_after_error or self._throttled or has_more:
+    def _report_state(self) -> None:
+        is_waiting = self._scheduler.is_waiting(self)
+        if self._replies or self._closing_after_error or self._throttled or is_waiting:
             self._owner.on_busy(self)
         elif not self._commands.is_empty() or not self._commands.count:
             self._owner.on_awaiting_command(self)
@@ -276,9 +274,10 @@
         """Return whether exactly one complete command has arrived."""
         return self._commands.count == 1
 
-    def has_buffered_input(self) -> bool:
-        """Return whether a command, or a part of one, has been read and not processed."""
-        return not self._commands.is_empty()
+    @property
+    def input_size(self) -> int:
+        """Number of bytes that have been read and not processed."""
+        return self._commands.buffered_size
 
     def is_throttled_only(self) -> bool:
         """Return whether the connection is throttled, has no reply pending and is not closing."""
--- a/cache_router/net/client_socket.py
+++ b/cache_router/net/client_socket.py
@@ -14,6 +14,18 @@
     """A protocol of the event loop that can tell the state of its socket; subclasses set `_transport`."""
 
     _transport: asyncio.Transport
+    _reading_enabled = True
+
+    def set_reading(self, enabled: bool) -> bool:
+        """Read from the socket or pause reading; return whether this is a change."""
+        if enabled == self._reading_enabled or self._transport.is_closing():
+            return False
+        self._reading_enabled = enabled
+        if enabled:
+            self._transport.resume_reading()
+        else:
+            self._transport.pause_reading()
+        return True
 
     @property
     def client_address(self) -> Address | None:
--- a/cache_router/net/command_reader.py
+++ b/cache_router/net/command_reader.py
@@ -63,6 +63,11 @@
             self._chunks.popleft()
         return self._chunks[0][1]
 
+    @property
+    def buffered_size(self) -> int:
+        """Number of bytes that are buffered and not part of a returned command."""
+        return self._reader.buffered_size
+
     def is_empty(self) -> bool:
         """Return whether no byte of a further command is buffered."""
         return self._reader.is_empty()
--- a/tests/cache_router/net/test_client_connection.py
+++ b/tests/cache_router/net/test_client_connection.py
@@ -103,7 +103,7 @@
     (connection,) = router.client_connections()
     await wait_until(lambda: connection.pending_replies == 2)  # the read and the error
     assert not connection.is_reading()
-    assert not connection.has_buffered_input()
+    assert not connection.input_size
     cache.write(HIT)
     assert await client.read_resp() == b"value"
     assert error_text(await client.read_resp()).startswith("ERR")
--- a/tests/cache_router/net/test_input_scheduler.py
+++ b/tests/cache_router/net/test_input_scheduler.py
@@ -8,7 +8,13 @@
 import pytest
 
 from cache_router.net import input_scheduler
-from cache_router.net.input_scheduler import MAX_LAG, MAX_PIPELINED_COMMANDS, QUANTUM, InputScheduler
+from cache_router.net.input_scheduler import (
+    MAX_LAG,
+    MAX_PIPELINED_COMMANDS,
+    MAX_SMALL_INPUT,
+    QUANTUM,
+    InputScheduler,
+)
 from cache_router.net.load_statistics import LoadStatistics
 
 
@@ -35,6 +41,10 @@
         self.commands = commands
         self._order = order
 
+    @property
+    def input_size(self) -> int:
+        return self.commands * MAX_SMALL_INPUT
+
     def process_input(self, until: float) -> bool:
         if not self.commands:
             return False
@@ -44,6 +54,9 @@
             pass
         return self.commands > 0
 
+    def on_input_processed(self) -> None:
+        pass
+
 
 async def test_connection_with_much_input_does_not_delay_the_others() -> None:
     """Guards against one client that keeps the event loop from all others (issue 37)."""
@@ -110,3 +123,38 @@
         limits.append(scheduler.pipeline_limit)
     assert limits[:6] == [16, 8, 4, 2, 1, 1]
     assert limits[-1] == MAX_PIPELINED_COMMANDS
+
+
+async def test_connections_with_little_input_come_first() -> None:
+    """Guards against requests that wait for the backlogs of hundreds of other clients (issue 37)."""
+    order: list[str] = []
+    turns = Turns()
+    scheduler = InputScheduler(turns, LoadStatistics())
+    floods = [Source("flood", 100, order) for _ in range(300)]
+    for each in floods:
+        scheduler.schedule(each)
+    order.clear()
+    for n in range(6):
+        scheduler.schedule(Source(f"small{n}", 1, order))
+    while "small5" not in order:
+        turns.next()
+        await asyncio.sleep(0)
+    assert order.count("flood") <= 3
+
+
+async def test_client_that_sends_much_is_read_again_only_in_its_turn() -> None:
+    """Guards against sockets of a flood that keep the event loop from all others (issue 37)."""
+    order: list[str] = []
+    turns = Turns()
+    scheduler = InputScheduler(turns, LoadStatistics())
+    other, flood = Source("other", 100, order), Source("flood", 2, order)
+    scheduler.schedule(other)
+    scheduler.schedule(flood)
+    while flood.commands:
+        assert scheduler.is_waiting(flood)
+        turns.next()
+        await asyncio.sleep(0)
+    for _ in range(3):
+        turns.next()
+        await asyncio.sleep(0)
+    assert not scheduler.is_waiting(flood)
--- a/tests/soak/flood_run.py
+++ b/tests/soak/flood_run.py
@@ -26,7 +26,15 @@
 
 BYSTANDERS = 4  # clients with few requests, on kept and on new connections each
 CACHE_COUNT = 9
-CLIENTS_OF_KIND = {FloodKind.PING: 6}
+# kinds that need memory or descriptors; their clients are connected at once in large numbers
+CROWDS = (
+    FloodKind.STOPPING,
+    FloodKind.NOT_READING,
+    FloodKind.LARGE_WRITES,
+    FloodKind.DRIPPING,
+    FloodKind.SHORT_FIELDS,
+)
+CLIENTS_OF_KIND = {FloodKind.PING: 6, **dict.fromkeys(CROWDS, 300)}
 DEFAULT_CLIENTS = 8
 FLOOD_LEAD = 0.3  # seconds between the start of the floods and that of the other clients
 SETTLE_TIME = 0.3  # seconds after the floods in which the router may still log
@@ -63,7 +71,7 @@
 def flood_plan(seed: int) -> Plan:
     """Return a plan without faults, whose settings are drawn from the seed."""
     plan = replace(draw_plan(seed, duration=1.0), cache_count=CACHE_COUNT, steps=[], clients=[])
-    return replace(plan, descriptors=512, idle_connections=0)
+    return replace(plan, descriptors=1024, idle_connections=0)
 
 
 class FloodRun:
--- a/tests/soak/floods.py
+++ b/tests/soak/floods.py
@@ -36,7 +36,8 @@
     LEAVING = "leaving"  # many reads at once, and a reset soon after
     RECONNECTING = "reconnecting"  # one read on each connection
     STOPPING = "stopping"  # a part of a large write, and then nothing
-    NOT_READING = "not-reading"  # reads whose replies are not read
+    NOT_READING = "not-reading"  # reads of large values whose replies are not read
+    LARGE_WRITES = "large-writes"  # many large writes at once
     DRIPPING = "dripping"  # one byte at a time
     SHORT_FIELDS = "short-fields"  # commands of very many short fields
 
@@ -111,6 +112,8 @@
                 return itertools.repeat(encode("PING") * PINGS_PER_CHUNK)
             case FloodKind.NEW_NAMES | FloodKind.NOT_READING:
                 return iter(self._reads, b"")
+            case FloodKind.LARGE_WRITES:
+                return iter(self._large_write, b"")
             case FloodKind.UNSOUND:
                 return iter(self._unsound, b"")
             case FloodKind.LEAVING:
@@ -127,7 +130,8 @@
 
     def _read(self) -> bytes:
         name = f"{self._name}-{next(self._numbers)}"
-        return encode("C.GET", f"key-{name}", name, f"c={self._request_class},t=t-{name},d=300")
+        prefix = "large" if self._kind is FloodKind.NOT_READING else "key"
+        return encode("C.GET", f"{prefix}-{name}", name, f"c={self._request_class},t=t-{name},d=300")
 
     def _reads(self) -> bytes:
         return b"".join(self._read() for _ in range(READS_PER_CHUNK))
--- a/tests/soak/network.py
+++ b/tests/soak/network.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 ROUTER_PORT, CACHE_PORT, ORIGIN_PORT, DISCOVERY_PORT = 7000, 6379, 8080, 8500
+STREAM_LIMIT = 1 << 20  # bytes that a connection buffers, more than the largest message
 SECOND_OCTET_COUNT, THIRD_OCTET_COUNT = 200, 250  # number of values used for each octet
 
 ConnectionHandler = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
@@ -57,7 +58,7 @@
     async def open(self) -> None:
         """Start to accept connections."""
         if self._server is None:
-            self._server = await asyncio.start_server(self._serve, *self.address)
+            self._server = await asyncio.start_server(self._serve, *self.address, limit=STREAM_LIMIT)
 
     def close(self) -> None:
         """Stop accepting connections, and reset the open ones."""
--- a/tests/soak/test_floods.py
+++ b/tests/soak/test_floods.py
@@ -11,13 +11,14 @@
 
 import pytest
 
-from tests.soak.flood_run import run_flood
+from tests.soak.flood_run import CROWDS, FloodResult, run_flood
 from tests.soak.floods import FloodKind
 
 SEED = 1
 SECONDS = 2.0  # duration of a flood
 TIME_LIMIT = 60.0  # seconds; long enough for a busy machine
 MAX_LATE_SHARE = 0.01
+MEMORY_LIMIT = 192  # MB, as on the operators' days
 FLOODS = [
     (FloodKind.PING,),
     (FloodKind.NEW_NAMES,),
@@ -26,13 +27,29 @@
 ]
 
 
+async def flood(kinds: tuple[FloodKind, ...]) -> FloodResult:
+    """Flood a router in another process, and return what was seen."""
+    with ProcessPoolExecutor(1) as pool:
+        return await asyncio.get_running_loop().run_in_executor(pool, run_flood, kinds, SEED, SECONDS)
+
+
+@pytest.mark.time_limit(TIME_LIMIT)
+@pytest.mark.parametrize("kind", CROWDS, ids=lambda kind: kind.value)
+async def test_memory_stays_below_the_limit_with_hundreds_of_clients(kind: FloodKind) -> None:
+    """Guards against a process that is killed for its memory (issue 37, picture b)."""
+    result = await flood((kind,))
+    assert result.memory < MEMORY_LIMIT, result
+    assert not result.faults, result
+    for summary in (result.kept, result.new):
+        assert summary.foreign == 0, result
+        assert summary.lost == 0, result
+
+
 @pytest.mark.time_limit(TIME_LIMIT)
 @pytest.mark.parametrize("kinds", FLOODS, ids=lambda kinds: "+".join(kind.value for kind in kinds))
 async def test_other_clients_get_their_answers_in_time_during_a_flood(kinds: tuple[FloodKind, ...]) -> None:
     """Guards against late and lost answers of clients beside one that uses up the processor (issue 37)."""
-    loop = asyncio.get_running_loop()
-    with ProcessPoolExecutor(1) as pool:
-        result = await loop.run_in_executor(pool, run_flood, kinds, SEED, SECONDS)
+    result = await flood(kinds)
     assert not result.faults, result
     for summary in (result.kept, result.new):
         assert summary.foreign == 0, result
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -14,6 +14,8 @@
 from tests.soak.plan import CacheMode, OriginMode
 
 LOAD_REPORT = b"svc_ms=5,pending=0"
+LARGE_KEY_PREFIX = b"large"
+LARGE_VALUE_SIZE = 60_000  # bytes
 MISS_SHARE = 0.15  # share of reads that miss, if the router fetches misses from the origin
 NORMAL_LATENCY = (0.001, 0.008)  # range in seconds
 SLOW_LATENCY = (0.2, 0.5)  # range in seconds
@@ -21,8 +23,9 @@
 
 
 def value_of(key: bytes, request_id: bytes) -> bytes:
-    """Return the value of a key in the response to one request."""
-    return key + b"|" + request_id
+    """Return the value of a key in the response to one request, a large one for LARGE_KEY_PREFIX."""
+    value = key + b"|" + request_id
+    return value.ljust(LARGE_VALUE_SIZE, b".") if key.startswith(LARGE_KEY_PREFIX) else value
 
 
 def encode_response(value: bytes | None, outcome: bytes) -> bytes:
