The values of requests in flight take 32 MB at most

Cause: class 'memory without a bound': each of 496 connections may have 32 writes of 64 KiB in flight, 1 GB in all, which wait in the queue for the origin until their deadlines. Change: a request whose value would exceed MAX_VALUE_BYTES in all is rejected at once, before decisions and attempts, which is safe for each class; it is counted with those that are rejected for lack of processor time. Measured: test_values_of_requests_in_flight_are_bounded failed without the bound (no reply within its time) and passes with it. 512 values of the largest size fit.

--- a/cache_router/net/command.py
+++ b/cache_router/net/command.py
@@ -54,6 +54,11 @@
         """Whether the command stores a value."""
         return self.value is not None
 
+    @property
+    def value_size(self) -> int:
+        """Size of the value in bytes."""
+        return len(self.value or b"")
+
     def encode_info(self, time_left: float) -> bytes:
         """Encode the info fields in their order.
 
--- a/cache_router/net/dispatcher.py
+++ b/cache_router/net/dispatcher.py
@@ -259,8 +259,8 @@
         request_id = command.request_id.decode()
         request_class = self._check(command, request_id)
         time_allowed = max(0.0, command.deadline_ms / 1000 - DEADLINE_MARGIN)
-        if 0 < time_allowed <= delays.waited + delays.lag:
-            self._reject_late_request(respond, delays)
+        if 0 < time_allowed <= delays.waited + delays.lag or not self.requests.has_memory_for(command):
+            self._reject_at_once(respond, delays)
             return
         time_left = max(0.0, time_allowed - delays.waited)
         time_left = self.requests.add(
@@ -307,8 +307,8 @@
         """Reply that a request was rejected."""
         self.requests.respond(action.request_id, encode_rejection(action.retry_after))
 
-    def _reject_late_request(self, respond: Callable[[bytes], None], delays: RequestDelays) -> None:
-        """Reject a request before any decision: its response would be handled after the client's deadline."""
+    def _reject_at_once(self, respond: Callable[[bytes], None], delays: RequestDelays) -> None:
+        """Reject a request before any decision: this process has no time or memory left for it."""
         self.statistics.count_rejected_request()
         retry_after = min(self.settings.max_retry_after, delays.waited + delays.lag)
         respond(encode_rejection(retry_after))
--- a/cache_router/net/load_statistics.py
+++ b/cache_router/net/load_statistics.py
@@ -35,7 +35,7 @@
         longest_turn: Length of the longest turn in seconds.
         deferred_inputs: Times that the input of a connection had to wait for a later turn.
         paused_reads: Times that a connection was not read until its input was processed.
-        rejected_requests: Requests that were rejected because the event loop was late.
+        rejected_requests: Requests that were rejected for lack of processor time or memory.
         failed_accepts: Accepts that failed, by the name of the error.
         failed_connects: Connects that failed for a fault of this machine, by the name of the error.
     """
@@ -89,7 +89,7 @@
         self.paused_reads += 1
 
     def count_rejected_request(self) -> None:
-        """Count a request that is rejected because the event loop is late."""
+        """Count a request that is rejected for lack of processor time or memory."""
         self.rejected_requests += 1
 
     def count_failed_accept(self, error: OSError) -> None:
--- a/cache_router/net/request_table.py
+++ b/cache_router/net/request_table.py
@@ -14,6 +14,7 @@
 # Minimum time in seconds for which the id of a finished request is rejected. Another client that reuses the
 # id might get the value that the first client requested.
 ID_REUSE_DELAY = 2.0
+MAX_VALUE_BYTES = 32 * 1024 * 1024  # bytes of the values of all requests in flight
 
 
 @dataclass(slots=True, eq=False)
@@ -67,6 +68,7 @@
         self._on_deadline = on_deadline
         self._clock = clock
         self._requests: dict[str, RequestInFlight] = {}
+        self._value_bytes = 0  # size of the values of all requests in flight
         # ids of requests that were closed or had an attempt end since the last `release_finished`
         self._release_candidates: list[str] = []
         self._latest_deadline = math.inf
@@ -99,6 +101,10 @@
             or request_id in self._previously_used_ids
         )
 
+    def has_memory_for(self, command: Command) -> bool:
+        """Return whether the values of all requests in flight stay within MAX_VALUE_BYTES with one more."""
+        return not command.value_size or self._value_bytes + command.value_size <= MAX_VALUE_BYTES
+
     def add(
         self,
         request_id: str,
@@ -114,6 +120,7 @@
         timer = self._start_deadline_timer(request_id, time_left)
         request = RequestInFlight(request_id, command, respond, is_connected, now + time_left, timer)
         self._requests[request_id] = request
+        self._value_bytes += command.value_size
         return time_left
 
     def respond(self, request_id: str, answer: bytes) -> None:
@@ -175,6 +182,7 @@
 
     def _release(self, request: RequestInFlight, now: float) -> None:
         del self._requests[request.request_id]
+        self._value_bytes -= request.command.value_size
         if now - self._ids_rotated_at > ID_REUSE_DELAY:
             self._previously_used_ids = self._recently_used_ids
             self._recently_used_ids = set()
--- a/tests/cache_router/net/test_request_table.py
+++ b/tests/cache_router/net/test_request_table.py
@@ -10,8 +10,8 @@
 from cache_router.net.clock import Clock
 from cache_router.net.request_table import RequestInFlight, RequestTable
 from cache_router.net.upstream_attempt import UpstreamAttempt
-from tests.support.event_order import wait_until
-from tests.support.loopback import HIT, encode_read, error_text
+from tests.support.event_order import record_written_requests, wait_until
+from tests.support.loopback import HIT, encode_http_response, encode_keyed_write, encode_read, error_text
 from tests.support.loopback_router import Router
 from tests.support.upstream_attempts import GET
 
@@ -171,3 +171,24 @@
     request = requests.add("r1", 0.5)
     requests.table.limit_deadlines(2.0)
     assert request.deadline == 0.5
+
+
+async def test_values_of_requests_in_flight_are_bounded(
+    router: Router, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a process that is killed for the memory of clients' values (issue 37, picture b)."""
+    monkeypatch.setattr(request_table, "MAX_VALUE_BYTES", 100)
+    written = record_written_requests(monkeypatch)
+    client = await router.client()
+    client.write(encode_keyed_write("w1", value=b"x" * 60))
+    await wait_until(lambda: written == ["w1"])
+    other = await router.client()
+    other.write(encode_keyed_write("w2", value=b"x" * 60))
+    assert error_text(await other.read_resp()).startswith("BUSY")
+    assert written == ["w1"]
+    origin = await router.origin.accept_connection()
+    await origin.read_http()
+    origin.write(encode_http_response("200 OK", b"receipt"))
+    assert await client.read_resp() == b"receipt"
+    other.write(encode_keyed_write("w3", value=b"x" * 60))
+    await wait_until(lambda: written == ["w1", "w3"])
