A client that reads its last reply late causes no exception in the event loop

Found by the floods (clients that do not read): 'Exception in callback _SelectorTransport.abort()' with a traceback, one for each such client. Cause: the abort that bounds the close of a connection with unsent replies also ran when the connection had closed by itself; asyncio's transport then has no event loop any more. Change: ClientSocket aborts only a connection whose end has not been reported. Measured: the test failed before with this exception and passes now.

--- a/cache_router/net/client_connection.py
+++ b/cache_router/net/client_connection.py
@@ -111,6 +111,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Report the closed connection, and notify the dispatcher of each request in flight."""
+        self.mark_lost()
         self._scheduler.remove(self)
         self._owner.on_closed(self)
         for request_id in self._replies.clear():
--- a/cache_router/net/client_socket.py
+++ b/cache_router/net/client_socket.py
@@ -15,6 +15,11 @@
 
     _transport: asyncio.Transport
     _reading_enabled = True
+    _is_lost = False  # whether the event loop has reported the end of the connection
+
+    def mark_lost(self) -> None:
+        """Record the end of the connection; its transport can no longer be used."""
+        self._is_lost = True
 
     def set_reading(self, enabled: bool) -> bool:
         """Read from the socket or pause reading; return whether this is a change."""
@@ -62,4 +67,8 @@
         self._transport.close()
         if self.has_unsent_output():
             # A client that does not read its replies would hold the descriptor until its process ends.
-            asyncio.get_running_loop().call_later(CLOSE_TIMEOUT, self._transport.abort)
+            asyncio.get_running_loop().call_later(CLOSE_TIMEOUT, self._abort_unless_lost)
+
+    def _abort_unless_lost(self) -> None:
+        if not self._is_lost:
+            self._transport.abort()
--- a/tests/cache_router/net/test_client_connection_closing.py
+++ b/tests/cache_router/net/test_client_connection_closing.py
@@ -7,11 +7,12 @@
 
 import pytest
 
-from cache_router.net import client_connection
+from cache_router.net import client_connection, client_socket
 from cache_router.net.client_connection import ClientConnection
 from cache_router.net.client_connection_table import ClientConnectionTable
+from tests.support.coroutine_tests import LoopErrors
 from tests.support.event_order import wait_until
-from tests.support.loopback import PeerConnection, encode_read, error_text
+from tests.support.loopback import PeerConnection, encode_command, encode_read, error_text
 from tests.support.loopback_router import Router, router_with
 
 
@@ -87,3 +88,20 @@
     await asyncio.sleep(2 * client_connection.ERROR_THROTTLE_TIME)
     for _ in range(2):
         await (await router.client()).ping()
+
+
+async def test_client_that_reads_its_last_reply_late_causes_no_error(
+    router: Router, monkeypatch: pytest.MonkeyPatch, loop_errors: LoopErrors
+) -> None:
+    """Guards against an abort of a connection that has closed meanwhile, an exception in the event loop."""
+    monkeypatch.setattr(client_socket, "CLOSE_TIMEOUT", 0.1)
+    table = ClientConnectionTable()
+    client, connection = await accepted_connection(router, table)
+    monkeypatch.setattr(client_connection, "PONG_REPLY", b"x" * 4_000_000)
+    client.write(encode_command("PING"))
+    await wait_until(connection.has_unsent_output)
+    connection.close()
+    assert len(await client.reader.read()) == 4_000_000
+    assert not list(table)
+    await asyncio.sleep(0.2)
+    assert not loop_errors
