The age of a server is a span of real time, also after a step of the system clock

Cause: the system time was read once, at the start, and the start times of the list, which are Unix time, were compared with it for good. Change: ServerStartTimes converts them when a server is first listed. A clock that is ahead by less than 6 s and never corrected is not noticed.

--- a/cache_router/net/dispatcher.py
+++ b/cache_router/net/dispatcher.py
@@ -51,6 +51,7 @@
 from cache_router.net.event_recovery import FAILED_REPLY, EventRecovery
 from cache_router.net.load_statistics import LoadStatistics, TurnCause
 from cache_router.net.request_table import RequestInFlight, RequestTable
+from cache_router.net.server_start_times import ServerStartTimes
 from cache_router.settings import Idempotency, RequestClass, Settings
 
 # Seconds by which the router's deadline precedes the client's deadline. The client measures its deadline from
@@ -133,6 +134,7 @@
         self.router = Router(settings, seed, self._clock.now())
         origin_kind = settings.origin_kind if settings.cache_aside else None
         self.endpoints = EndpointTable(caches, origins, origin_kind)
+        self._start_times = ServerStartTimes(settings, self._clock)
         self.requests = RequestTable(self._on_deadline, self._clock)
         self._attempts = AttemptRunner(
             settings,
@@ -230,6 +232,7 @@
         Raises:
             EndpointUpdateError: The update was not applied; a complete list must be received.
         """
+        endpoints = self._start_times.convert(kind, endpoints)
         self.endpoints.apply(kind, endpoints)
         update = EndpointUpdate(kind, tuple(e.entry for e in endpoints))
         self.post(update)
--- a/tests/cache_router/net/test_local_faults.py
+++ b/tests/cache_router/net/test_local_faults.py
@@ -55,7 +55,7 @@
 async def test_fault_of_this_machine_is_no_failed_connect(
     peer: Peer, attempt_recorders: AttemptRecorders, connects: FaultyConnects, error: int
 ) -> None:
-    """Guards against servers that are ejected and requests that are refused after a local fault (issue 38)."""
+    """Guards against servers that are ejected after a fault of this machine (issue 38)."""
     attempts = attempt_recorders.on_caches()
     connects.error = error
     attempts.start(peer.address)
