Ids are rejected for as long as their requests may run twice, in bounded memory

Cause: ids were kept for 2 s, while servers remember a key for up to 5 s and more at a site, and clients wait as long; under a flood of new ids their number had no bound but the rate.

--- a/cache_router/net/dispatcher.py
+++ b/cache_router/net/dispatcher.py
@@ -52,6 +52,7 @@
 from cache_router.net.load_statistics import LoadStatistics, TurnCause
 from cache_router.net.request_table import RequestInFlight, RequestTable
 from cache_router.net.server_start_times import ServerStartTimes
+from cache_router.net.used_ids import reuse_delay
 from cache_router.settings import Idempotency, RequestClass, Settings
 
 # Seconds by which the router's deadline precedes the client's deadline. The client measures its deadline from
@@ -135,7 +136,7 @@
         origin_kind = settings.origin_kind if settings.cache_aside else None
         self.endpoints = EndpointTable(caches, origins, origin_kind)
         self._start_times = ServerStartTimes(settings, self._clock)
-        self.requests = RequestTable(self._on_deadline, self._clock)
+        self.requests = RequestTable(self._on_deadline, self._clock, reuse_delay(settings))
         self._attempts = AttemptRunner(
             settings,
             self._clock,
--- a/cache_router/net/request_table.py
+++ b/cache_router/net/request_table.py
@@ -10,10 +10,8 @@
 from cache_router.net.clock import Clock
 from cache_router.net.command import Command
 from cache_router.net.upstream_attempt import UpstreamAttempt
+from cache_router.net.used_ids import MIN_REUSE_DELAY, UsedIds
 
-# Minimum time in seconds for which the id of a finished request is rejected. Another client that reuses the
-# id might get the value that the first client requested.
-ID_REUSE_DELAY = 2.0
 MAX_VALUE_BYTES = 32 * 1024 * 1024  # bytes of the values of all requests in flight
 
 
@@ -63,8 +61,19 @@
 class RequestTable:
     """Requests in flight by id. Times are in seconds, on the table's clock."""
 
-    def __init__(self, on_deadline: Callable[[RequestInFlight], None], clock: Clock) -> None:
-        """Create an empty table; `on_deadline` is called with each request whose deadline has passed."""
+    def __init__(
+        self,
+        on_deadline: Callable[[RequestInFlight], None],
+        clock: Clock,
+        id_reuse_delay: float = MIN_REUSE_DELAY,
+    ) -> None:
+        """Create an empty table.
+
+        Args:
+            on_deadline: Called with each request whose deadline has passed.
+            clock: The clock of all times.
+            id_reuse_delay: Seconds for which the id of a finished request is rejected.
+        """
         self._on_deadline = on_deadline
         self._clock = clock
         self._requests: dict[str, RequestInFlight] = {}
@@ -72,10 +81,7 @@
         # ids of requests that were closed or had an attempt end since the last `release_finished`
         self._release_candidates: list[str] = []
         self._latest_deadline = math.inf
-        # ids of finished requests, in two generations, so that they are dropped in bulk
-        self._recently_used_ids: set[str] = set()
-        self._previously_used_ids: set[str] = set()
-        self._ids_rotated_at = clock.now()
+        self._used_ids = UsedIds(id_reuse_delay, clock.now())
 
     def __len__(self) -> int:
         """Return the number of requests in flight."""
@@ -95,11 +101,7 @@
 
     def is_id_used(self, request_id: str) -> bool:
         """Return whether a request of this id is in flight, or was until a few seconds ago."""
-        return (
-            request_id in self._requests
-            or request_id in self._recently_used_ids
-            or request_id in self._previously_used_ids
-        )
+        return request_id in self._requests or request_id in self._used_ids
 
     def has_memory_for(self, command: Command) -> bool:
         """Return whether the values of all requests in flight stay within MAX_VALUE_BYTES with one more."""
@@ -183,9 +185,5 @@
     def _release(self, request: RequestInFlight, now: float) -> None:
         del self._requests[request.request_id]
         self._value_bytes -= request.command.value_size
-        if now - self._ids_rotated_at > ID_REUSE_DELAY:
-            self._previously_used_ids = self._recently_used_ids
-            self._recently_used_ids = set()
-            self._ids_rotated_at = now
-        self._recently_used_ids.add(request.request_id)
+        self._used_ids.add(request.request_id, now)
         request.stop_deadline_timer()
--- a/tests/cache_router/net/test_request_table.py
+++ b/tests/cache_router/net/test_request_table.py
@@ -10,6 +10,7 @@
 from cache_router.net.clock import Clock
 from cache_router.net.request_table import RequestInFlight, RequestTable
 from cache_router.net.upstream_attempt import UpstreamAttempt
+from cache_router.net.used_ids import MIN_REUSE_DELAY
 from tests.support.event_order import record_written_requests, wait_until
 from tests.support.loopback import HIT, encode_http_response, encode_keyed_write, encode_read, error_text
 from tests.support.loopback_router import Router
@@ -137,12 +138,12 @@
         requests.table.release_finished()
 
     finish("r1")
-    requests.clock.time = request_table.ID_REUSE_DELAY
+    requests.clock.time = MIN_REUSE_DELAY
     finish("r2")
     assert requests.table.is_id_used("r1")
     # Ids are kept in two generations, which rotate when a request is released.
     for number in (3, 4):
-        requests.clock.time += request_table.ID_REUSE_DELAY + 0.1
+        requests.clock.time += MIN_REUSE_DELAY + 0.1
         finish(f"r{number}")
     assert not requests.table.is_id_used("r1")
     assert not requests.table.is_id_used("r2")
