The test of ids that come again fails without the longer delay

Cause: only one generation had ended by then. Change: a third of the window passes before each of the two requests that start a generation. Measured: with 2 s w1 is answered -BUSY instead of 'in use', so the test fails; with the delay of the settings it passes.

--- a/tests/cache_router/net/test_used_ids.py
+++ b/tests/cache_router/net/test_used_ids.py
@@ -25,8 +25,9 @@
     client.reset()
     await wait_until(lambda: not router.dispatcher.requests)
     now = Clock.now
-    monkeypatch.setattr(Clock, "now", lambda clock: now(clock) + KEYED_WRITE.idempotency_window - 1.0)
     for n in range(2):  # finished requests start generations of ids
+        passed = (n + 1) * KEYED_WRITE.idempotency_window / 3
+        monkeypatch.setattr(Clock, "now", lambda clock, passed=passed: now(clock) + passed)
         other = await router.client()
         other.write(encode_keyed_write(f"w{n + 2}"))
         await wait_until(lambda: len(router.dispatcher.requests) == 1)
