Slow writers of large commands are read on; floods in the soak

Change: only a connection of which more than 4 KiB have been processed waits for its turn to be read. The soak draws floods (--floods): one or two of ten kinds during the load, beside all its other faults, and one at full speed that lasts through SIGTERM until the router has ended.

--- a/cache_router/net/input_scheduler.py
+++ b/cache_router/net/input_scheduler.py
@@ -118,7 +118,7 @@
         return self._small
 
     def _process(self, source: InputSource) -> None:
-        was_large = source.input_size > MAX_SMALL_INPUT
+        size = source.input_size
         started_at = time.monotonic()
         has_more = source.process_input(started_at + QUANTUM)
         elapsed = time.monotonic() - started_at
@@ -126,7 +126,8 @@
         self._statistics.add_time(TurnCause.CLIENT_INPUT, elapsed)
         # The sockets of all clients that send much would keep the event loop from the others: while others
         # wait, such a client is read again only in its turn.
-        if (has_more or (was_large and self._waiting)) and source not in self._waiting:
+        has_sent_much = size - source.input_size > MAX_SMALL_INPUT
+        if (has_more or (has_sent_much and self._waiting)) and source not in self._waiting:
             self._enqueue(source, is_large=True)
         source.on_input_processed()
 
--- a/tests/cache_router/net/test_input_scheduler.py
+++ b/tests/cache_router/net/test_input_scheduler.py
@@ -158,3 +158,28 @@
         turns.next()
         await asyncio.sleep(0)
     assert not scheduler.is_waiting(flood)
+
+
+class SlowWriter(Source):
+    """A connection with a part of a large command, which cannot be processed yet."""
+
+    def process_input(self, until: float) -> bool:
+        self._order.append(self.name)
+        return False
+
+
+async def test_incomplete_large_commands_are_read_on() -> None:
+    """Guards against slow writers that keep the event loop busy and are not read (issue 37)."""
+    order: list[str] = []
+    turns = Turns()
+    scheduler = InputScheduler(turns, LoadStatistics())
+    flood = Source("flood", 1000, order)
+    writers = [SlowWriter(f"writer{n}", 10, order) for n in range(5)]
+    for each in (flood, *writers):
+        scheduler.schedule(each)
+    for _ in range(20):
+        turns.next()
+        await asyncio.sleep(0)
+    assert scheduler.is_waiting(flood)
+    assert not any(scheduler.is_waiting(writer) for writer in writers)
+    assert order.count("writer0") == 1
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -12,7 +12,7 @@
 import click
 
 from tests.soak.faults import FAULTS
-from tests.soak.seeds import soak_seed
+from tests.soak.seeds import SeedOptions, soak_seed
 
 
 @click.command()
@@ -26,11 +26,15 @@
 @click.option(
     "--fault", default="", type=click.Choice(["", *FAULTS]), help="fault to reintroduce into the router"
 )
-def main(*, seeds: int, first: int, seconds: float, jobs: int, timing: bool, fault: str) -> None:
+@click.option("--floods/--no-floods", default=False, help="flood the router beside the other clients")
+def main(
+    *, seeds: int, first: int, seconds: float, jobs: int, timing: bool, fault: str, floods: bool
+) -> None:
     """Run the router's process under faults drawn from seeds, and check the observations of its peers."""
     passed = 0
     with ProcessPoolExecutor(jobs) as pool:
-        run_seed = partial(soak_seed, seconds=seconds, fault=fault, with_timing=timing)
+        options = SeedOptions(seconds, fault, with_timing=timing, with_floods=floods)
+        run_seed = partial(soak_seed, options=options)
         for result in pool.map(run_seed, range(first, first + seeds)):
             passed += not result.violations
             print(result.report, flush=True)
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -272,7 +272,8 @@
 def rerun_command(run: SoakRun) -> str:
     """Return the command that runs the same plan again."""
     plan = run.plan
-    return f"python -m tests.soak --seeds 1 --first {plan.seed} --seconds {plan.duration:g}"
+    floods = " --floods" if plan.floods else ""
+    return f"python -m tests.soak --seeds 1 --first {plan.seed} --seconds {plan.duration:g}{floods}"
 
 
 def summary(run: SoakRun, found: list[str]) -> str:
--- a/tests/soak/flood_run.py
+++ b/tests/soak/flood_run.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import os
-import sys
 import tempfile
 from collections.abc import Sequence
 from concurrent.futures import ProcessPoolExecutor
@@ -20,22 +19,13 @@
 
 from tests.soak.bystanders import Bystander, Summary, summarize
 from tests.soak.checks import check_processes
+from tests.soak.flood_processes import start_flood, stop_flood
 from tests.soak.floods import FULL_SPEED_KINDS, FloodKind
 from tests.soak.plan import Plan, draw_plan
 from tests.soak.run import SoakRun
 
 BYSTANDERS = 4  # clients with few requests, on kept and on new connections each
 CACHE_COUNT = 9
-# kinds that need memory or descriptors; their clients are connected at once in large numbers
-CROWDS = (
-    FloodKind.STOPPING,
-    FloodKind.NOT_READING,
-    FloodKind.LARGE_WRITES,
-    FloodKind.DRIPPING,
-    FloodKind.SHORT_FIELDS,
-)
-CLIENTS_OF_KIND = {FloodKind.PING: 6, **dict.fromkeys(CROWDS, 300)}
-DEFAULT_CLIENTS = 8
 FLOOD_LEAD = 0.3  # seconds between the start of the floods and that of the other clients
 SETTLE_TIME = 0.3  # seconds after the floods in which the router may still log
 SAMPLE_INTERVAL = 0.05  # seconds between two samples of the router's memory and scheduling
@@ -102,14 +92,14 @@
             await router.wait_until_ready()
             background.append(asyncio.create_task(self._sample_process()))
             _, used_before = self._scheduler_times()
-            floods = [await self._start_flood(kind) for kind in self._kinds]
+            address = self._soak.network.router
+            floods = [await start_flood(kind, address, self._seed) for kind in self._kinds]
             await asyncio.sleep(FLOOD_LEAD)
             bystanders = chain.from_iterable(self._bystanders.values())
             await asyncio.gather(*(bystander.run(self._seconds) for bystander in bystanders))
             _, used = self._scheduler_times()
             for process in floods:
-                process.kill()
-                await process.wait()
+                await stop_flood(process)
             await asyncio.sleep(SETTLE_TIME)
             await router.terminate(self._soak.plan.sigkill_after)
         return self._result(used - used_before)
@@ -132,14 +122,6 @@
             faults=tuple(check_processes(observations)),
         )
 
-    async def _start_flood(self, kind: FloodKind) -> asyncio.subprocess.Process:
-        host, port = self._soak.network.router
-        clients = CLIENTS_OF_KIND.get(kind, DEFAULT_CLIENTS)
-        options = [f"--clients={clients}", f"--seconds={self._seconds + 30}", f"--seed={self._seed}"]
-        return await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "tests.soak.floods", kind.value, host, str(port), *options
-        )
-
     def _scheduler_times(self) -> tuple[float, float]:
         """Return the seconds for which the router has waited for a core, and those of its processor time."""
         used, waited, _ = Path(f"/proc/{self._soak.router.process_id}/schedstat").read_text().split()
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -7,6 +7,8 @@
 from enum import Enum
 from typing import Any
 
+from tests.soak.flood_processes import Flood, draw_floods
+
 LOAD_START = 1.0  # seconds after the first start of the router
 CACHE_KIND, ORIGIN_KIND = "std", "store"
 DRAIN_GRACE = 0.5  # seconds after the notice of a drain in which attempts may still begin
@@ -88,6 +90,7 @@
     clients: list[ClientKind] = field(default_factory=list)
     idle_connections: int = 0  # number of connections that clients open without sending anything
     steps: list[Step] = field(default_factory=list)
+    floods: list[Flood] = field(default_factory=list)
 
     @property
     def sigkill_after(self) -> float:
@@ -101,8 +104,8 @@
         return bool(self.settings["familyInfo"]["mode"] == "aside")
 
 
-def draw_plan(seed: int, duration: float) -> Plan:
-    """Draw the plan of a seed."""
+def draw_plan(seed: int, duration: float, with_floods: bool = False) -> Plan:
+    """Draw the plan of a seed; `with_floods` adds floods, and changes nothing else."""
     generator = random.Random(seed)
     plan = Plan(seed, duration, settings=_draw_settings(generator))
     plan.cache_count = generator.randint(3, 7)
@@ -110,6 +113,8 @@
     plan.descriptors = 128 if with_idle_connections else 512
     plan.idle_connections = 120 if with_idle_connections else 0
     plan.clients = [generator.choice(list(ClientKind)) for _ in range(generator.randint(8, 20))]
+    if with_floods:
+        plan.floods = draw_floods(seed, duration)
     plan.steps = sorted(_draw_steps(generator, plan), key=lambda step: step.time)
     return plan
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -16,6 +16,7 @@
 from cache_router.descriptor_budget import DescriptorBudget
 from tests.soak.clients import Client, hold_idle_connections
 from tests.soak.discovery import Discovery
+from tests.soak.flood_processes import run_flood
 from tests.soak.network import Network
 from tests.soak.observations import Observations
 from tests.soak.plan import (
@@ -123,9 +124,15 @@
         at_load_start = self._resource_usage()
         load = self._start_load()
         background += load
+        floods = [
+            asyncio.create_task(run_flood(flood, self.network.router, self.plan.seed * 10 + n))
+            for n, flood in enumerate(self.plan.floods)
+        ]
+        background += floods
         await steps
         await self._stop_load(load)
-        await self._check_idle_resources(at_load_start)
+        if not self.plan.floods:
+            await self._check_idle_resources(at_load_start)
         load = self._start_load("d")
         background += load
         await asyncio.sleep(LOAD_BEFORE_END)
--- a/tests/soak/seeds.py
+++ b/tests/soak/seeds.py
@@ -22,21 +22,33 @@
     report: str
 
 
-def soak_seed(seed: int, seconds: float, fault: str = "", with_timing: bool = True) -> SeedResult:
+@dataclass(slots=True, frozen=True)
+class SeedOptions:
+    """How a seed is run."""
+
+    seconds: float  # time in which its steps are executed
+    fault: str = ""  # fault to reintroduce into the router, or empty
+    with_timing: bool = True  # whether latencies are checked
+    with_floods: bool = False  # whether clients flood the router
+
+
+def soak_seed(seed: int, options: SeedOptions) -> SeedResult:
     """Run one seed in an event loop of its own."""
-    return asyncio.run(_soak_seed(seed, seconds, fault, with_timing))
+    return asyncio.run(_soak_seed(seed, options))
 
 
-async def _soak_seed(seed: int, seconds: float, fault: str, with_timing: bool) -> SeedResult:
+async def _soak_seed(seed: int, options: SeedOptions) -> SeedResult:
     with tempfile.TemporaryDirectory() as folder:
-        run = SoakRun(draw_plan(seed, seconds), Path(folder), fault)
+        plan = draw_plan(seed, options.seconds, options.with_floods)
+        run = SoakRun(plan, Path(folder), options.fault)
         await run.execute()
-    found = find_violations(run, with_timing)
+    found = find_violations(run, options.with_timing)
     lines = [summary(run, found)]
     if found:
         lines.append(f"  repeat with: {rerun_command(run)}")
         lines += [f"  {violation}" for violation in found[:MAX_SHOWN]]
         lines += [f"  ({len(found)} violations)"]
+        lines += [f"  {flood}" for flood in run.plan.floods]
         lines += [f"  event {event}" for event in run.observations.events]
         lines += [f"  log {line[:200]}" for line in run.observations.log[-MAX_SHOWN:]]
     return SeedResult(found, "\n".join(lines))
--- a/tests/soak/test_floods.py
+++ b/tests/soak/test_floods.py
@@ -11,7 +11,8 @@
 
 import pytest
 
-from tests.soak.flood_run import CROWDS, FloodResult, run_flood
+from tests.soak.flood_processes import CROWDS
+from tests.soak.flood_run import FloodResult, run_flood
 from tests.soak.floods import FloodKind
 
 SEED = 1
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -13,6 +13,7 @@
 import pytest
 
 SEEDS = 6
+FLOOD_SEEDS = 3
 SECONDS = 8  # seconds in which the steps of a seed are executed
 TIME_LIMIT = 180.0  # seconds; long enough for a busy machine
 # Beginning of a violation that each fault causes.
@@ -48,6 +49,13 @@
     assert status == 0, output
 
 
+@pytest.mark.time_limit(TIME_LIMIT)
+async def test_fixed_seeds_pass_beside_floods() -> None:
+    """Guards against rules that are broken while clients flood the router, also in a shutdown (issue 37)."""
+    status, output = await soak(f"--seeds={FLOOD_SEEDS}", "--first=1", "--jobs=3", "--floods")
+    assert status == 0, output
+
+
 @pytest.mark.time_limit(TIME_LIMIT)
 async def test_faults_that_are_put_back_are_found() -> None:
     results = await asyncio.gather(
