Replies that clients do not read take 48 MB at most

Cause: each of 496 connections may have 32 replies of 64 KiB that its client does not read, 1 GB in all; a connection stops reading commands, but the replies to those in flight are still written to its buffer. Change: the evictor ends the connections whose clients leave most unread, down to MAX_UNSENT_BYTES in all, every 0.1 s. A client can tell that its reply is not complete.

--- a/cache_router/net/client_connection_table.py
+++ b/cache_router/net/client_connection_table.py
@@ -25,6 +25,9 @@
     def has_unread_input(self) -> bool:
         """Return whether a command may wait in the socket."""
 
+    def unsent_size(self) -> int:
+        """Return the number of bytes of replies that are still buffered."""
+
     def has_unsent_output(self) -> bool:
         """Return whether a part of a reply is still buffered."""
 
--- a/cache_router/net/client_socket.py
+++ b/cache_router/net/client_socket.py
@@ -42,9 +42,13 @@
         """Return whether a command may wait in the socket."""
         return has_unread_bytes(self._transport)
 
+    def unsent_size(self) -> int:
+        """Return the number of bytes of replies that are still buffered."""
+        return self._transport.get_write_buffer_size()
+
     def has_unsent_output(self) -> bool:
         """Return whether a part of a reply is still buffered."""
-        return bool(self._transport.get_write_buffer_size())
+        return bool(self.unsent_size())
 
     def has_pending_io(self) -> bool:
         """Return whether a part of a reply is buffered, or a new command may wait in the socket."""
--- a/cache_router/net/eviction.py
+++ b/cache_router/net/eviction.py
@@ -16,6 +16,7 @@
 SINGLE_COMMAND_IDLE_TIMEOUT = 0.1
 # seconds between checks for overdue connections
 OVERDUE_CHECK_INTERVAL = 0.1
+MAX_UNSENT_BYTES = 48 * 1024 * 1024  # bytes of replies that clients have not read, in all
 INCOMPLETE_COMMAND_REPLY = "-ERR no whole command came"
 log = logging.getLogger(__name__)
 
@@ -85,6 +86,7 @@
         self._reject_incomplete_commands(now)
         self._evict_unread_replies(now)
         self._evict_surplus_idle(now)
+        self._evict_largest_unsent_replies()
 
     def _reject_incomplete_commands(self, now: float) -> None:
         """Close connections that have not completed a command within COMMAND_TIMEOUT."""
@@ -99,6 +101,15 @@
             if now - since > self._longest_client_timeout and connection.has_unsent_output():
                 connection.abort()
 
+    def _evict_largest_unsent_replies(self) -> None:
+        """Evict the connections whose clients leave most unread, down to MAX_UNSENT_BYTES in all."""
+        unsent = {c: size for c in self._connections if (size := c.unsent_size())}
+        excess = sum(unsent.values()) - MAX_UNSENT_BYTES
+        while excess > 0:
+            largest = max(unsent, key=unsent.__getitem__)
+            excess -= unsent.pop(largest)
+            largest.abort()
+
     def _evict_surplus_idle(self, now: float) -> None:
         """Evict idle connections, the longest idle first, down to half of the budget."""
         surplus = len(self._connections) - self._max_connections // 2
--- a/tests/cache_router/net/test_client_connection_table.py
+++ b/tests/cache_router/net/test_client_connection_table.py
@@ -19,6 +19,9 @@
     def has_unread_input(self) -> bool:
         raise NotImplementedError
 
+    def unsent_size(self) -> int:
+        raise NotImplementedError
+
     def has_unsent_output(self) -> bool:
         raise NotImplementedError
 
--- a/tests/cache_router/net/test_eviction.py
+++ b/tests/cache_router/net/test_eviction.py
@@ -185,3 +185,15 @@
         client = await client_with_unread_reply(router, b"x" * 60_000, monkeypatch)
         await wait_until(lambda: not router.client_connections())
         client.close()
+
+
+async def test_unsent_replies_are_bounded_in_all(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a process that is killed for replies that nobody reads (issue 37, picture b)."""
+    monkeypatch.setattr(eviction, "OVERDUE_CHECK_INTERVAL", 0.01)
+    monkeypatch.setattr(eviction, "MAX_UNSENT_BYTES", 10_000)
+    async with Router() as router:
+        client = await client_with_unread_reply(router, b"x" * 60_000, monkeypatch)
+        other = await router.client()
+        await wait_until(lambda: len(router.client_connections()) == 1)
+        await other.ping()
+        client.close()
