Soak: a seed in which copies are found each time, and the connection of a poll is allowed

Trace of the descriptors: 36 connections to caches, 12 to the origin, which is the budget, and one to discovery, which may be open after the load and not before it; the check now allows that one.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -34,6 +34,7 @@
 
 MAX_MEMORY_GROWTH = 40.0  # MB by which the load may increase the resident memory
 SETTLE_TIME = 1.5  # seconds between the end of the load and the check of resources
+POLL_CONNECTIONS = 1  # a poll of discovery may be open after the load and not before it
 LOAD_BEFORE_END = 1.0  # seconds of load before the last SIGTERM
 CLOSE_DETECTION_TIME = 0.3  # seconds after the end of the process for clients to detect closed connections
 
@@ -154,7 +155,7 @@
         await asyncio.sleep(SETTLE_TIME)
         descriptors, memory = self._resource_usage()
         budget = DescriptorBudget.divide(self.plan.descriptors)  # idle connections to upstreams stay open
-        if descriptors - at_load_start[0] > budget.caches + budget.origin:
+        if descriptors - at_load_start[0] > budget.caches + budget.origin + POLL_CONNECTIONS:
             self._record_violation(
                 f"resources: {descriptors} descriptors after the load, {at_load_start[0]} before it"
             )
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -23,7 +23,7 @@
     "drain": "drain: ",
     "copies": "reply: ",
 }
-FAULT_SEEDS = {"copies": 2}  # seeds other than 1; not every seed has servers that answer twice
+FAULT_SEEDS = {"copies": 166}  # seeds other than 1; in this one a server answers twice for 3 s
 
 
 async def soak(*options: str) -> tuple[int, str]:
