Responses of the origin without a length end with the regular end of the connection

Cause: UpstreamConnection did not handle the regular end of the stream, so that such an attempt ended as RESET; a test took that for right, as the body may be truncated. Change: eof_received completes the attempt if its response ends with the stream (HTTP/1.1, RFC 9112 section 6.3); a reset is RESET as before, a body shorter than its length as well. A connection whose stream has ended carries no other request.

--- a/cache_router/net/origin_connection.py
+++ b/cache_router/net/origin_connection.py
@@ -6,7 +6,7 @@
 
 from cache_router.decisions.events import AttemptStatus
 from cache_router.net.command import MAX_VALUE_SIZE, Command
-from cache_router.net.http import HttpClient, HttpError
+from cache_router.net.http import HttpClient, HttpError, Response
 from cache_router.net.upstream_attempt import UpstreamResponse
 from cache_router.net.upstream_connection import ConnectionOwner, MalformedResponseError, UpstreamConnection
 
@@ -21,8 +21,8 @@
 class OriginConnection(UpstreamConnection):
     """A connection to the origin.
 
-    A response must delimit its body by a length or by chunks. A body that ends with the connection may be
-    truncated, and is not accepted.
+    The body of a response ends by its length or chunks, or else with the regular end of the connection. A
+    connection that is reset may have lost a part of the body.
     """
 
     def __init__(self, owner: ConnectionOwner, address: str, incarnation: object) -> None:
@@ -47,8 +47,18 @@
             response = self._client.receive(data)
         except HttpError as error:
             raise MalformedResponseError(str(error)) from error
-        if response is None:
+        return None if response is None else self._outcome_of(response)
+
+    def decode_end(self) -> UpstreamResponse | None:
+        """Return the response if its body ends with the connection, None if it is truncated."""
+        try:
+            response = self._client.receive(b"")
+        except HttpError:
             return None
+        return None if response is None else self._outcome_of(response)
+
+    @staticmethod
+    def _outcome_of(response: Response) -> UpstreamResponse:
         if response.status == OK:
             return UpstreamResponse(AttemptStatus.OK, response.body)
         not_started = response.headers.get(NOT_STARTED_HEADER) == b"1"
--- a/cache_router/net/upstream_connection.py
+++ b/cache_router/net/upstream_connection.py
@@ -62,6 +62,8 @@
         self._last_exchange: CompletedExchange | None = None
         # Whether the whole request has been passed to the kernel.
         self._request_written = False
+        # Whether the server has ended the stream.
+        self._has_ended = False
         # Timer that limits the idle time of the connection, or the time in which a response must be complete.
         self._timeout: asyncio.TimerHandle | None = None
 
@@ -77,6 +79,10 @@
             MalformedResponseError: The bytes are not a valid response, or the response is too large.
         """
 
+    def decode_end(self) -> UpstreamResponse | None:
+        """Return the response that the regular end of the stream completes, None if it is truncated."""
+        return None
+
     @abstractmethod
     def is_reusable(self) -> bool:
         """Return whether the response is complete without trailing bytes, so that a request may follow."""
@@ -153,13 +159,26 @@
             # No bytes that a server sends may affect more than this connection.
             self._fail(attempt, error)
             return
-        if response is not None and self._is_second_response(response):
-            self._fail(attempt, MalformedResponseError("second response to the previous request"))
-        elif response is not None:
-            self._complete(attempt, response)
+        if response is not None:
+            self._accept_response(attempt, response)
         elif self._timeout is None and self.response_started():
             self._start_completion_timeout(attempt)
 
+    def eof_received(self) -> None:
+        """Complete the attempt if its response ends with the stream; the event loop closes the connection."""
+        self._has_ended = True
+        attempt = self._attempt
+        response = self.decode_end() if attempt is not None else None
+        if attempt is not None and response is not None:
+            self._accept_response(attempt, response)
+
+    def _accept_response(self, attempt: UpstreamAttempt, response: UpstreamResponse) -> None:
+        """Complete an attempt, unless the response is a copy of that to the previous request."""
+        if self._is_second_response(response):
+            self._fail(attempt, MalformedResponseError("second response to the previous request"))
+        else:
+            self._complete(attempt, response)
+
     def _is_second_response(self, response: UpstreamResponse) -> bool:
         return self._last_exchange is not None and self._last_exchange.is_repeated_by(response)
 
@@ -176,7 +195,8 @@
         """Complete an attempt with its response, and keep the connection if it can be reused."""
         self._cancel_timeout()
         self._attempt = None
-        if self._request_written and self.is_reusable() and not self._transport.is_closing():
+        may_follow = self._request_written and not self._has_ended and not self._transport.is_closing()
+        if may_follow and self.is_reusable():
             self._last_exchange = CompletedExchange.of(attempt.command, response)
             acknowledge_received_bytes(self._transport)
             self._owner.on_idle(self)
