--- a/cache_router/log_limit.py
+++ b/cache_router/log_limit.py
@@ -1,4 +1,4 @@
-"""A bound on the log: each statement that logs may write only so many lines in a time."""
+"""A bound on the log: the number of lines that each logging statement may write in an interval."""
 
 from __future__ import annotations
 
@@ -18,9 +18,23 @@
     written: int = 0
     omitted: int = 0
 
+    def has_room(self) -> bool:
+        """Count a line, and return whether it may be written."""
+        if self.written < MAX_LINES:
+            self.written += 1
+            return True
+        self.omitted += 1
+        return False
+
+    def start_interval(self, now: float) -> int:
+        """Start the next interval, and return the number of lines omitted in the last one."""
+        omitted = self.omitted
+        self.interval_start, self.written, self.omitted = now, 0, 0
+        return omitted
+
 
 class LogLimit(logging.Filter):
-    """Omits lines beyond the limit; the next line of their statement tells how many there were.
+    """Omits lines beyond the limit; the next line of their statement contains their number.
 
     Attributes:
         omitted_lines: Number of lines omitted since the start.
@@ -37,13 +51,10 @@
         now = time.monotonic()
         lines = self._lines.setdefault((record.pathname, record.lineno), StatementLines(now))
         if now - lines.interval_start >= INTERVAL:
-            if lines.omitted:
-                record.msg = f"{record.getMessage()} ({lines.omitted} such lines omitted)"
+            omitted = lines.start_interval(now)
+            if omitted:
+                record.msg = f"{record.getMessage()} ({omitted} such lines omitted)"
                 record.args = ()
-            lines.interval_start, lines.written, lines.omitted = now, 0, 0
-        if lines.written < MAX_LINES:
-            lines.written += 1
-            return True
-        lines.omitted += 1
-        self.omitted_lines += 1
-        return False
+        is_written = lines.has_room()
+        self.omitted_lines += not is_written
+        return is_written
--- a/cache_router/net/accepting.py
+++ b/cache_router/net/accepting.py
@@ -1,4 +1,4 @@
-"""Accepts clients that the kernel has queued, and tells faults of one client from those of this machine."""
+"""Accepts clients that the kernel has queued; distinguishes faults of a client from those of this machine."""
 
 from __future__ import annotations
 
--- a/cache_router/net/client_socket.py
+++ b/cache_router/net/client_socket.py
@@ -11,7 +11,7 @@
 
 
 class ClientSocket(asyncio.BufferedProtocol):
-    """A protocol of the event loop that can tell the state of its socket; subclasses set `_transport`."""
+    """A protocol of the event loop with queries of its socket; subclasses set `_transport`."""
 
     _transport: asyncio.Transport
     _reading_enabled = True
--- a/cache_router/net/connect_faults.py
+++ b/cache_router/net/connect_faults.py
@@ -1,4 +1,4 @@
-"""Tells failed connects that speak of the server from those that speak of this machine."""
+"""Distinguishes failed connects for which the server is at fault from those for which this machine is."""
 
 from __future__ import annotations
 
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -18,6 +18,7 @@
 LATE_REPLY_GRACE = 0.5  # seconds after the deadline in which a reply is worthless, but no violation
 TIME_LIMIT_TOLERANCE = 0.05  # seconds by which socket I/O may exceed each time limit
 MAX_ROUTER_PAUSE = 0.15  # seconds for which the router may be suspended between reading its clock and a write
+MAX_DEADLINE_EXCESS = 0.15  # seconds by which the deadline of an attempt may exceed that of its client
 DISCONNECT_TOLERANCE = 0.1  # seconds after a client's disconnect in which an attempt may still begin
 NOTIFICATION_DEADLINE = 6.0  # seconds after discovery has a change and is reachable
 ADDRESS_CHANGE_DEADLINE = 4.0  # seconds after a SIGHUP, which may change the address of discovery
@@ -45,6 +46,7 @@
             found += _check_unforwarded(request, observations, with_timing)
         found += _check_reply(request, attempts[request.request_id], plan, observations)
         found += _check_attempts(request, attempts[request.request_id], plan, run)
+        found += _check_deadlines_of_attempts(request, attempts[request.request_id])
     found += _check_drains(run, with_timing)
     found += _check_polls(observations)
     found += check_processes(observations)
@@ -178,6 +180,16 @@
         yield f"retry: {label} at {attempt.server}, not in the idempotency scope of {earlier[0].server}"
 
 
+def _check_deadlines_of_attempts(request: SentRequest, attempts: list[Attempt]) -> Iterator[str]:
+    """Check that the deadline of each attempt is at most that of the client."""
+    if request.client in ORDERED_KINDS:
+        return
+    for attempt in attempts:
+        late = attempt.time + attempt.time_left - request.sent_at - request.deadline
+        if late > MAX_DEADLINE_EXCESS + attempt.lag:
+            yield f"deadline: {request.request_id} was sent to {attempt.server} with {late:.3f} s more than is left"
+
+
 def _scope_id(server: str, scope: str, run: SoakRun) -> object:
     entry = run.discovery.registry.entries[server]
     return {"all": None, "zone": entry["zone"], "cell": entry["group"]}[scope]
--- a/tests/soak/observations.py
+++ b/tests/soak/observations.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from dataclasses import dataclass, field
 
 LAG_INTERVAL = 0.005  # seconds between two samples of the event loop's lag
@@ -17,6 +18,7 @@
     lag: float  # seconds by which the observer may have recorded the time late
     request_id: str
     server: str
+    time_left: float = math.inf  # seconds for which the router waits, as the request says
     is_origin: bool = False
     proves_no_execution: bool = False  # whether the response rules out an execution
     ended_at: float | None = None  # time of the response, or of the close of the connection
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -28,6 +28,11 @@
     return value.ljust(LARGE_VALUE_SIZE, b".") if key.startswith(LARGE_KEY_PREFIX) else value
 
 
+def time_left_of(info: str) -> float:
+    """Return the deadline in the info fields of a request, in seconds."""
+    return int(dict(field.split("=", 1) for field in info.split(","))["d"]) / 1000
+
+
 def encode_response(value: bytes | None, outcome: bytes) -> bytes:
     """Return a cache server's response: the value, whether it was a hit or a miss, and a load report."""
     encoded = b"$-1\r\n" if value is None else b"$%d\r\n%b\r\n" % (len(value), value)
@@ -70,7 +75,13 @@
                 received_at = self._now()
                 parser.feed(data)
                 while (command := parser.gets()) is not Ellipsis:
-                    attempt = Attempt(received_at, self._observations.lag, command[2].decode(), self.name)
+                    attempt = Attempt(
+                        received_at,
+                        self._observations.lag,
+                        command[2].decode(),
+                        self.name,
+                        time_left=time_left_of(command[3].decode()),
+                    )
                     self._observations.attempts.append(attempt)
                     await self._respond(attempt, command, reader, writer)
         finally:
@@ -139,7 +150,15 @@
             headers = {name.lower(): value for name, value in (line.split(": ", 1) for line in lines)}
             await reader.readexactly(int(headers.get("content-length", 0)))
             key, request_id = request_line.split()[1][1:], headers["request-id"]
-            attempt = Attempt(received_at, self._observations.lag, request_id, self.name, is_origin=True)
+            time_left = time_left_of(headers["request-info"])
+            attempt = Attempt(
+                received_at,
+                self._observations.lag,
+                request_id,
+                self.name,
+                time_left=time_left,
+                is_origin=True,
+            )
             self._observations.attempts.append(attempt)
             is_slow = self.mode is OriginMode.SLOW
             try:
