--- a/cache_router/net/load_statistics.py
+++ b/cache_router/net/load_statistics.py
@@ -51,7 +51,7 @@
 
     @property
     def overload_events(self) -> int:
-        """Number of long turns, rejections and failed calls, of which an idle router has none."""
+        """Number of long turns, rejections and failed calls; an idle router has none."""
         failed_calls = self.failed_accepts.total() + self.failed_connects.total()
         return self.long_turns.total() + self.rejected_requests + failed_calls
 
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -187,7 +187,7 @@
     for attempt in attempts:
         late = attempt.time + attempt.time_left - request.sent_at - request.deadline
         if late > MAX_DEADLINE_EXCESS + attempt.lag:
-            yield f"deadline: {request.request_id} was sent to {attempt.server} with {late:.3f} s more than is left"
+            yield f"deadline: {request.request_id} at {attempt.server}, {late:.3f} s more than is left"
 
 
 def _scope_id(server: str, scope: str, run: SoakRun) -> object:
--- a/tests/soak/flood_processes.py
+++ b/tests/soak/flood_processes.py
@@ -22,7 +22,7 @@
 CLIENTS_OF_KIND = {FloodKind.PING: 6, **dict.fromkeys(CROWDS, CROWD_SIZE)}
 DEFAULT_CLIENTS = 8
 SOAK_CROWD_SIZE = 60  # fewer than in a run of floods, as a router in a soak test has fewer descriptors
-MAX_SECONDS = 120.0  # a flood ends by itself if the process that started it is gone
+MAX_SECONDS = 120.0  # after which a flood ends also if nobody stops it
 
 
 @dataclass(slots=True, frozen=True)
