A single long turn of the event loop is no reason to reject requests

Cause: requests that arrive during one long turn, such as that of a long endpoint list, were rejected as if each later turn were as long: their wait and the lag were counted together. Change: the lag is the wait that was seen at the start of two turns in succession.

--- a/cache_router/net/fair_selector.py
+++ b/cache_router/net/fair_selector.py
@@ -34,7 +34,7 @@
 
     @property
     def lag(self) -> float:
-        """Time for which the descriptor that waited longest had been ready when the turn started."""
+        """Time for which some descriptor had been ready at the start of this turn and of the previous one."""
 
     def ready_since(self, descriptor: int, /) -> float:
         """Return the earliest time at which the input of a descriptor of this turn can have arrived."""
@@ -60,7 +60,8 @@
 
     Attributes:
         started_at: Start of the present turn.
-        lag: Time for which the descriptor that waited longest had been ready when the turn started.
+        lag: Time for which some descriptor had been ready at the start of this turn and of the previous one.
+            A single long turn is no lag.
         on_turn_ended: Called at the end of each turn with its length in seconds.
     """
 
@@ -69,6 +70,7 @@
         super().__init__()
         self.started_at = time.monotonic()
         self.lag = 0.0
+        self._last_wait = 0.0  # longest time for which a descriptor of the previous turn had been ready
         self.on_turn_ended: Callable[[float], None] = lambda _: None
         self._default_ready_since = self.started_at
         # earliest times of arrival of descriptors that were ready before the last call of `select`
@@ -85,7 +87,9 @@
         self._default_ready_since = self._earliest_arrival(ended_at, now, timeout)
         self.started_at = now
         self._selected_since, self._deferred_since = self._deferred_since, {}
-        self.lag = now - min((self.ready_since(key.fd) for key, _ in ready), default=now)
+        longest_wait = now - min((self.ready_since(key.fd) for key, _ in ready), default=now)
+        self.lag = min(longest_wait, self._last_wait)
+        self._last_wait = longest_wait
         return ready if len(ready) <= MAX_EVENTS_PER_TURN else self._choose(ready)
 
     def unregister(self, fileobj: FileDescriptorLike) -> selectors.SelectorKey:
