Soak: a list counts as sent once it was written on an open connection; a line's length

Trace: the drain and an outage of discovery are drawn for the same moment, 10.316 s. The stand-in recorded the list as sent when it made it, but its connection was closed in the same turn, so that nothing left; the late attempts begin 0.7 s after that moment and end when the router has read the list, at 13.2 s. Change: the stand-in records a list when it writes it on a connection that is open.

--- a/tests/soak/discovery.py
+++ b/tests/soak/discovery.py
@@ -17,6 +17,24 @@
 SECOND_POLL_TOLERANCE = 0.1  # seconds by which the end of a poll may arrive after the start of the next one
 
 
+@dataclass(slots=True, frozen=True)
+class PollResponse:
+    """The response to a poll."""
+
+    data: bytes
+    versions: dict[str, int] = field(default_factory=dict)  # version of each listed entry, by name
+
+    @property
+    def is_list(self) -> bool:
+        """Whether the response is a list or a change of it that the router can use."""
+        return self.data.startswith(b"HTTP/1.1 200") and b'"wrong"' not in self.data
+
+
+def encode_http(body: bytes) -> bytes:
+    """Return a successful HTTP response."""
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+
+
 @dataclass(slots=True)
 class Registry:
     """The endpoint list, with the version in which each entry last changed."""
@@ -35,18 +53,22 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
-    def encode_update(self, after: int | None, now: float) -> bytes:
-        """Return the JSON of an update, and record the time for each entry in it.
+    def update(self, after: int | None) -> PollResponse:
+        """Return the response with an update, and the versions of the entries in it.
 
         The update is the complete list if `after` is None, otherwise the changes since that version.
         """
         listed = [
             e for name, e in self.entries.items() if after is None or self.changed_in_version[name] > after
         ]
-        for entry in listed:
-            name = entry["name"]
-            self.sent_versions.setdefault(name, []).append((now, self.changed_in_version[name]))
-        return orjson.dumps({"index": self.version, "snapshot": after is None, "endpoints": listed})
+        body = orjson.dumps({"index": self.version, "snapshot": after is None, "endpoints": listed})
+        names = [entry["name"] for entry in listed]
+        return PollResponse(encode_http(body), {name: self.changed_in_version[name] for name in names})
+
+    def record_sent(self, versions: dict[str, int], now: float) -> None:
+        """Record that entries were written to the router, with the versions in which they last changed."""
+        for name, version in versions.items():
+            self.sent_versions.setdefault(name, []).append((now, version))
 
 
 class Discovery:
@@ -89,10 +111,8 @@
         try:
             await asyncio.wait([disconnected, response], return_when=asyncio.FIRST_COMPLETED)
             if response.done():
-                poll.failed = (
-                    not response.result().startswith(b"HTTP/1.1 200") or b'"wrong"' in response.result()
-                )
-                writer.write(response.result())
+                poll.failed = not response.result().is_list
+                self._write(response.result(), writer)
                 await writer.drain()
             else:
                 poll.failed = True
@@ -103,6 +123,12 @@
             disconnected.cancel()
             response.cancel()
 
+    def _write(self, response: PollResponse, writer: asyncio.StreamWriter) -> None:
+        """Write a response; on a connection that is closed just then, it does not reach the router."""
+        writer.write(response.data)
+        if not writer.transport.is_closing():
+            self.registry.record_sent(response.versions, asyncio.get_running_loop().time())
+
     def _check_single_poll(self, poll: Poll) -> None:
         others = [
             other for other in self._open_polls if other is not poll and other.started_at < poll.started_at
@@ -110,16 +136,16 @@
         if poll in self._open_polls and others:
             self._observations.violations.append(f"watch: {len(others) + 1} polls are open at the same time")
 
-    async def _respond(self, head: str) -> bytes:
+    async def _respond(self, head: str) -> PollResponse:
         mode = self.mode
         if mode is DiscoveryMode.SILENT:
             await asyncio.Event().wait()
         if mode is DiscoveryMode.UNAVAILABLE:
-            return b"HTTP/1.1 503 Unavailable\r\nContent-Length: 0\r\n\r\n"
+            return PollResponse(b"HTTP/1.1 503 Unavailable\r\nContent-Length: 0\r\n\r\n")
         if mode is DiscoveryMode.SLOW:
             await asyncio.sleep(SLOW_RESPONSE_DELAY)
         if mode is DiscoveryMode.WRONG_INDEX:
-            return self._http_response(b'{"index":"wrong","snapshot":true,"endpoints":[]}')
+            return PollResponse(encode_http(b'{"index":"wrong","snapshot":true,"endpoints":[]}'))
         query = re.search(r"after=(\d+)&wait_ms=(\d+)", head)
         after = int(query[1]) if query else None
         if query and after is not None and after >= self.registry.version:
@@ -130,8 +156,4 @@
                 pass
             if self.mode is DiscoveryMode.SILENT:
                 await asyncio.Event().wait()
-        return self._http_response(self.registry.encode_update(after, asyncio.get_running_loop().time()))
-
-    @staticmethod
-    def _http_response(body: bytes) -> bytes:
-        return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+        return self.registry.update(after)
--- a/tests/soak/system_call_faults.py
+++ b/tests/soak/system_call_faults.py
@@ -39,11 +39,12 @@
 
     def install(self) -> None:
         """Replace the methods until the process ends."""
-        socket.socket.accept = self._failing(socket.socket.accept, ACCEPT_ERRORS)  # type: ignore[method-assign]
-        socket.socket.connect = self._connect(socket.socket.connect)  # type: ignore[method-assign]
-        socket.socket.recv = self._reading(socket.socket.recv)  # type: ignore[method-assign]
-        socket.socket.recv_into = self._reading_into(socket.socket.recv_into)  # type: ignore[method-assign]
-        socket.socket.send = self._writing(socket.socket.send)  # type: ignore[method-assign]
+        layer: Any = socket.socket
+        layer.accept = self._failing(layer.accept, ACCEPT_ERRORS)
+        layer.connect = self._connect(layer.connect)
+        layer.recv = self._reading(layer.recv)
+        layer.recv_into = self._reading_into(layer.recv_into)
+        layer.send = self._writing(layer.send)
 
     def _fail(self, errors: tuple[int, ...], share: float = FAULT_SHARE) -> None:
         if self._generator.random() < share:
