KNOWN-RED: busy clients that fill the descriptors delay others

Seen: a router with 48 connections for clients; 60 clients that always have large writes in flight hold all of them. None is idle, so that none may be closed; others wait in the backlog until the flood ends and are answered up to 2.2 s late. Trace: accepts with 48 of 48 connections open for the whole time.

--- a/tests/soak/test_floods.py
+++ b/tests/soak/test_floods.py
@@ -14,6 +14,7 @@
 from tests.soak.flood_processes import CROWDS
 from tests.soak.flood_run import FloodResult, run_flood
 from tests.soak.floods import FloodKind
+from tests.soak.seeds import SeedOptions, soak_seed
 
 SEED = 1
 SECONDS = 2.0  # duration of a flood
@@ -56,3 +57,12 @@
         assert summary.foreign == 0, result
         assert summary.lost == 0, result
         assert summary.late <= MAX_LATE_SHARE * summary.sent, result
+
+
+@pytest.mark.time_limit(TIME_LIMIT)
+async def test_busy_clients_that_fill_the_descriptors_delay_no_other() -> None:
+    """Guards against clients that wait in the backlog while busy ones hold every connection (issue 38)."""
+    options = SeedOptions(seconds=15.0, with_floods=True)
+    with ProcessPoolExecutor(1) as pool:
+        result = await asyncio.get_running_loop().run_in_executor(pool, soak_seed, 616, options)
+    assert not result.violations, result.report
