A request after a rest of its connection has its whole time

Callers: the first request on a connection that rested after it was opened, or after a pause of reading, was rejected at once, or got too short a deadline, on an idle router too. Cause: the time since which bytes may have waited unread was kept until the next read, however much later its bytes arrived. Change: when a connection is opened or read again, the kernel is asked whether bytes wait; if none does, what comes later counts from its own arrival.

--- a/cache_router/net/client_connection.py
+++ b/cache_router/net/client_connection.py
@@ -78,12 +78,12 @@
         self._throttled = False  # whether reading is paused after an error
         self._closing_after_error = False  # if set, no further command is processed
 
-    # Called by the event loop
-
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Report the new connection, which awaits its first command."""
         self._transport = cast(asyncio.Transport, transport)
         self._descriptor: int = transport.get_extra_info("socket").fileno()
+        if not self.has_unread_input():
+            self._commands.mark_all_read()
         self._owner.on_accepted(self)
 
     def get_buffer(self, sizehint: int) -> memoryview:
@@ -117,8 +117,6 @@
         for request_id in self._replies.clear():
             self._dispatcher.on_client_disconnected(request_id)
 
-    # Commands
-
     def process_input(self, until: float) -> bool:
         """Process commands until a time of the monotonic clock; return whether more may follow at once."""
         self._is_processing = True
@@ -182,9 +180,13 @@
     def _update_reading(self) -> None:
         """Read only while commands are processed at once, which bounds the memory that a client occupies."""
         reading = self._accepts_commands() and not self._scheduler.is_waiting(self)
-        if self.set_reading(reading) and not reading:
+        if not self.set_reading(reading):
+            return
+        if not reading:
             self._commands.mark_unread_since(time.monotonic())
             self._dispatcher.statistics.count_paused_read()
+        elif not self.has_unread_input():
+            self._commands.mark_all_read()
 
     def _throttle(self) -> None:
         """Pause reading for a while: a client that sends errors at full speed would use a whole core."""
@@ -195,8 +197,6 @@
         self._throttled = False
         self._scheduler.schedule(self)
 
-    # Replies
-
     def _complete_reply(self, reply: PipelinedReply, data: bytes) -> None:
         """Complete a reply, and write all replies that precede the first pending one."""
         reply.complete(data)
@@ -237,8 +237,6 @@
         else:
             self._owner.on_idle(self)
 
-    # Closing
-
     def close_with_error(self, error: str) -> None:
         """Send an error line after the pending replies, and close; ignored if the connection is closing.
 
--- a/cache_router/net/command_reader.py
+++ b/cache_router/net/command_reader.py
@@ -33,6 +33,10 @@
         if self._unread_since is None:
             self._unread_since = time
 
+    def mark_all_read(self) -> None:
+        """Record that no byte waits unread: what is received from now on has not waited before."""
+        self._unread_since = None
+
     def feed(self, data: memoryview, ready_since: float) -> None:
         """Add received bytes, which the event loop has known to be ready since a time."""
         arrived_at = ready_since
--- a/tests/cache_router/net/test_request_arrival.py
+++ b/tests/cache_router/net/test_request_arrival.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 from functools import partial
 
@@ -106,3 +107,21 @@
     client.write(encode_read("r2"))
     cache = await router.cache()
     assert (await cache.read_resp())[2] == b"r2"
+
+
+@pytest.mark.parametrize("before", ["connect", "error"])
+async def test_request_after_a_rest_has_its_whole_time(router: Router, before: str) -> None:
+    """Guards against a request that is dated back to when its connection was opened or last paused."""
+    client = await router.client()
+    if before == "error":
+        client.write(encode_command("GET", "k"))
+        error_text(await client.read_resp())
+    await wait_until(router.client_connections)
+    (connection,) = router.client_connections()
+    await wait_until(lambda: connection.is_reading() and not connection.is_throttled_only())
+    await asyncio.sleep(EARLIER)
+    started_at = time.monotonic()
+    client.write(encode_read("r1", info=f"c=read,t=x,d={int(DEADLINE * 1000)}"))
+    command = await (await router.cache()).read_resp()
+    elapsed = time.monotonic() - started_at
+    assert deadline_of(command) >= DEADLINE - DEADLINE_MARGIN - elapsed - ROUNDING
