--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -373,12 +373,14 @@
     folder: Path, play: Callable[[Record, Path, list[Router]], Awaitable[bool]], seconds: float = 110.0
 ) -> None:
     """Play a case, end all routers, and exit; `play` returns whether the rule held."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))  # the routers are ended then, too
     record = Record(folder)
     temporary = Path(tempfile.mkdtemp(prefix="review-"))
     routers: list[Router] = []
 
     async def main() -> int:
         try:
+            raise_descriptor_limit(2048)
             async with asyncio.timeout(seconds):
                 return HELD if await play(record, temporary, routers) else BROKEN
         except (CaseError, TimeoutError, OSError) as error:
