--- a/cache_router/net/client_connection.py
+++ b/cache_router/net/client_connection.py
@@ -14,6 +14,7 @@
 from cache_router.net.dispatcher import Dispatcher, RequestDelays
 from cache_router.net.input_scheduler import MAX_SMALL_INPUT, InputScheduler
 from cache_router.net.pipelined_replies import PipelinedReply, ReplyQueue
+from cache_router.net.reply_memory import ReplyMemory
 from cache_router.net.resp import INCOMPLETE, Message, RespError
 
 ERROR_THROTTLE_TIME = 0.1  # seconds for which a connection is not read after an error
@@ -37,6 +38,10 @@
     def input_scheduler(self) -> InputScheduler:
         """The scheduler that divides the time of the event loop among the connections."""
 
+    @property
+    def reply_memory(self) -> ReplyMemory:
+        """The memory of replies that wait behind pending ones, on all connections."""
+
     def on_accepted(self, connection: ClientConnection) -> None:
         """Handle a new connection."""
 
@@ -71,7 +76,7 @@
         self._owner = owner
         self._scheduler = owner.input_scheduler
         self._commands = CommandReader(queued_since)
-        self._replies = ReplyQueue()
+        self._replies = ReplyQueue(owner.reply_memory)
         self._last_reply_at = 0.0  # time at which the last reply was written, on the monotonic clock
         self._is_processing = False  # whether replies are collected, to be written together
         self._writing_enabled = True
@@ -199,8 +204,7 @@
 
     def _complete_reply(self, reply: PipelinedReply, data: bytes) -> None:
         """Complete a reply, and write all replies that precede the first pending one."""
-        reply.complete(data)
-        self._replies.on_completed()
+        self._replies.complete(reply, data)
         if self._is_processing:
             return
         self._write_replies()
--- a/cache_router/net/client_connection_table.py
+++ b/cache_router/net/client_connection_table.py
@@ -10,6 +10,7 @@
 from cache_router.net.fair_selector import LoopTurns, UnmeasuredTurns
 from cache_router.net.input_scheduler import InputScheduler
 from cache_router.net.load_statistics import LoadStatistics
+from cache_router.net.reply_memory import ReplyMemory
 
 READ_BUFFER_SIZE = 64 * 1024  # bytes
 # seconds that a client has to send a command before it may be evicted, however many connections there are
@@ -60,7 +61,9 @@
 
         `turns` measures the turns of the event loop, if it has a `FairSelector`, `statistics` its load.
         """
-        self.input_scheduler = InputScheduler(turns or UnmeasuredTurns(), statistics or LoadStatistics())
+        statistics = statistics or LoadStatistics()
+        self.input_scheduler = InputScheduler(turns or UnmeasuredTurns(), statistics)
+        self.reply_memory = ReplyMemory(statistics)
         self.draining = False  # whether connections close as soon as no reply is pending on them
         # One buffer serves all connections: each copies its bytes out before another connection reads.
         self.read_buffer = memoryview(bytearray(READ_BUFFER_SIZE))
--- a/cache_router/net/pipelined_replies.py
+++ b/cache_router/net/pipelined_replies.py
@@ -6,6 +6,8 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+from cache_router.net.reply_memory import ReplyMemory
+
 
 @dataclass(slots=True, eq=False)
 class PipelinedReply:
@@ -13,6 +15,7 @@
 
     request_id: str | None = None  # id of the request in the dispatcher, if there is one
     data: bytes | None = None  # encoded reply, or None while it is pending
+    waiting_bytes: int = 0  # bytes of `data` that are counted as waiting
 
     def start_request(self, request_id: str) -> None:
         """Record the id of the request that this reply answers."""
@@ -30,8 +33,9 @@
 class ReplyQueue:
     """Replies that have not been written; one that is complete waits for those ahead of it."""
 
-    def __init__(self) -> None:
-        """Create an empty queue."""
+    def __init__(self, memory: ReplyMemory) -> None:
+        """Create an empty queue; `memory` counts the waiting replies of all queues."""
+        self._memory = memory
         self._replies: deque[PipelinedReply] = deque()
         self._complete: list[bytes] = []  # replies that may be written, as no pending one is ahead of them
 
@@ -45,11 +49,15 @@
         self._replies.append(reply)
         return reply
 
-    def on_completed(self) -> None:
-        """Move the replies that precede the first pending one to those that may be written."""
-        while self._replies and (data := self._replies[0].data) is not None:
-            self._replies.popleft()
-            self._complete.append(data)
+    def complete(self, reply: PipelinedReply, data: bytes) -> None:
+        """Complete a reply; it may be written once those ahead of it are complete."""
+        reply.complete(data)
+        if self._replies and reply is not self._replies[0]:
+            self._memory.add(len(data))
+            reply.waiting_bytes = len(data)
+        while self._replies and (complete := self._replies[0].data) is not None:
+            self._memory.remove(self._replies.popleft().waiting_bytes)
+            self._complete.append(complete)
 
     def take_complete(self) -> bytes:
         """Return the replies that may be written, and remove them."""
@@ -60,6 +68,7 @@
     def clear(self) -> Iterator[str]:
         """Discard all replies; return the ids of the requests whose replies are pending."""
         pending = [reply.request_id for reply in self._replies if reply.data is None]
+        self._memory.remove(sum(reply.waiting_bytes for reply in self._replies))
         self._replies.clear()
         self._complete.clear()
         return (request_id for request_id in pending if request_id is not None)
