A message of many short lines is rejected above its size limit

RespReader compared the size of a message with its limit at bulk strings only. Nested arrays of short lines have none: up to 16^4 lines of 1,024 bytes for one client, until it is closed after 2 s. Change: each message, complete or not, is rejected above max_message. What follows a complete message does not count. Tests, failed before the change (no error was raised; the client got none): test_incomplete_message_is_rejected_once_it_exceeds_its_size and one case of test_framing_error_closes_the_connection.

--- a/cache_router/net/resp.py
+++ b/cache_router/net/resp.py
@@ -72,7 +72,7 @@
         Args:
             max_items: Maximum number of items of an array.
             max_bulk: Maximum size of a bulk string in bytes.
-            max_message: Maximum size of a message in bytes, up to the end of its last bulk string.
+            max_message: Maximum size of a message in bytes.
         """
         self._max_items = max_items
         self._max_bulk = max_bulk
@@ -111,10 +111,17 @@
         try:
             message = self._read_message(depth=0)
         except _IncompleteMessageError:
+            self._check_size(len(self._buffer))
             return INCOMPLETE
+        self._check_size(self._position)
         del self._buffer[: self._position]
         return message
 
+    def _check_size(self, size: int) -> None:
+        """Raise `RespError` if a message is too long, also one of many lines, none of which is."""
+        if size > self._max_message:
+            raise RespError("message is too long")
+
     def _read_message(self, depth: int) -> Message:
         try:
             first_byte = self._buffer[self._position]
--- a/tests/cache_router/net/test_client_connection.py
+++ b/tests/cache_router/net/test_client_connection.py
@@ -85,6 +85,7 @@
         b"*1\r\n$" + b"0" * 40,  # a line that is too long, like the next
         b"+" + b"x" * 2000,
         b"*1\r\n" * 9,
+        b"*16\r\n" + (b"*16\r\n" + (b"+" + b"x" * 1000 + b"\r\n") * 16) * 5,  # too long, though no line is
     ],
 )
 async def test_framing_error_closes_the_connection(router: Router, sent: bytes) -> None:
--- a/tests/cache_router/net/test_resp.py
+++ b/tests/cache_router/net/test_resp.py
@@ -84,3 +84,20 @@
     resp_reader.feed(data)
     with pytest.raises(RespError):
         resp_reader.next()
+
+
+def test_incomplete_message_is_rejected_once_it_exceeds_its_size() -> None:
+    """Arrays of short lines have no announced length; one client's command could take 67 MB of memory."""
+    reader = RespReader(max_items=16, max_bulk=100, max_message=2000)
+    reader.feed(b"*16\r\n*16\r\n" + b"+0123456789\r\n" * 15)
+    assert reader.next() is INCOMPLETE
+    reader.feed((b"+" + b"x" * 1000 + b"\r\n") * 2)
+    with pytest.raises(RespError, match="message is too long"):
+        reader.next()
+
+
+def test_size_of_later_messages_does_not_count_towards_the_first() -> None:
+    reader = RespReader(max_items=16, max_bulk=100, max_message=200)
+    reader.feed(b"*1\r\n$3\r\nabc\r\n" * 100)
+    assert [reader.next() for _ in range(100)] == [[b"abc"]] * 100
+    assert reader.next() is INCOMPLETE
