--- a/cache_router/net/completed_exchange.py
+++ b/cache_router/net/completed_exchange.py
@@ -23,12 +23,14 @@
     key: bytes
     is_write: bool
     status: AttemptStatus
+    load_report: bytes
     value_hash: int  # in place of the value, which may have 64 KiB
 
     @classmethod
     def of(cls, command: Command, response: UpstreamResponse) -> Self:
         """Return the exchange of a request and its complete response."""
-        return cls(command.key, command.is_write, response.status, hash(response.value))
+        value_hash = hash(response.value)
+        return cls(command.key, command.is_write, response.status, response.load_report, value_hash)
 
     def may_precede(self, command: Command, is_idempotent: bool) -> bool:
         """Return whether a copy of this exchange's response does no harm in the place of that to `command`.
@@ -45,3 +47,13 @@
         """Return whether a response to a later request has the value of this one: it is a copy of it."""
         is_ok = self.status is response.status is AttemptStatus.OK
         return is_ok and self.value_hash == hash(response.value)
+
+    def may_be_repeated_by(self, response: UpstreamResponse) -> bool:
+        """Return whether a response without a value may be a copy of this one.
+
+        Two misses may well be equal, so that the response is used. But if it is a copy, the real response is
+        still to come, and would be taken for that to the next request on the connection.
+        """
+        if response.status is AttemptStatus.OK:
+            return False
+        return response.status is self.status and response.load_report == self.load_report
--- a/cache_router/net/upstream_connection.py
+++ b/cache_router/net/upstream_connection.py
@@ -22,6 +22,9 @@
 # Seconds from the first byte of a response until it must be complete. Servers send a response in one piece.
 RESPONSE_COMPLETION_TIMEOUT = 0.1
 
+# Seconds after a response within which a second copy of it may arrive, which is some milliseconds late.
+MAX_COPY_DELAY = 0.1
+
 log = logging.getLogger(__name__)
 
 
@@ -60,6 +63,9 @@
         self._owner = owner
         self._attempt: UpstreamAttempt | None = None
         self._last_exchange: CompletedExchange | None = None
+        self._last_response_at = 0.0  # time on the clock of the event loop, in seconds
+        # Whether a copy of the last response may arrive in the place of the response to the present request.
+        self._copy_may_arrive = False
         # Whether the whole request has been passed to the kernel.
         self._request_written = False
         # Whether the server has ended the stream.
@@ -109,6 +115,8 @@
         self._cancel_timeout()
         attempt.mark_sent(self)
         self._attempt = attempt
+        idle_time = asyncio.get_running_loop().time() - self._last_response_at
+        self._copy_may_arrive = idle_time < MAX_COPY_DELAY
         self._request_written = False
         try:
             data = self.encode(attempt.command, attempt.time_left())
@@ -182,6 +190,10 @@
     def _is_second_response(self, response: UpstreamResponse) -> bool:
         return self._last_exchange is not None and self._last_exchange.is_repeated_by(response)
 
+    def _may_be_second_response(self, response: UpstreamResponse) -> bool:
+        last = self._last_exchange
+        return self._copy_may_arrive and last is not None and last.may_be_repeated_by(response)
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Notify the owner, and complete the attempt in flight, if any."""
         self._cancel_timeout()
@@ -195,15 +207,21 @@
         """Complete an attempt with its response, and keep the connection if it can be reused."""
         self._cancel_timeout()
         self._attempt = None
-        may_follow = self._request_written and not self._has_ended and not self._transport.is_closing()
-        if may_follow and self.is_reusable():
+        if self._may_carry_another(response):
             self._last_exchange = CompletedExchange.of(attempt.command, response)
+            self._last_response_at = asyncio.get_running_loop().time()
             acknowledge_received_bytes(self._transport)
             self._owner.on_idle(self)
         else:
             self.abort()
         attempt.finish(response)
 
+    def _may_carry_another(self, response: UpstreamResponse) -> bool:
+        """Return whether another request may be sent after the one that got a response."""
+        if not self._request_written or self._has_ended or self._transport.is_closing():
+            return False
+        return self.is_reusable() and not self._may_be_second_response(response)
+
     def _start_completion_timeout(self, attempt: UpstreamAttempt) -> None:
         """Limit the time for the rest of a response, which may announce more bytes than are sent."""
         loop = asyncio.get_running_loop()
--- a/tests/cache_router/net/test_second_responses.py
+++ b/tests/cache_router/net/test_second_responses.py
@@ -10,6 +10,7 @@
 import pytest
 
 from cache_router.decisions.events import AttemptStatus
+from cache_router.net import upstream_connection
 from cache_router.net.cache_connection import CacheConnection
 from cache_router.net.command import Command
 from cache_router.net.completed_exchange import CompletedExchange
@@ -27,6 +28,8 @@
 ONCE = RequestClass("once", 1.0, Idempotency.NOT_IDEMPOTENT)
 SETTINGS_WITH_ONCE = replace(SETTINGS, classes={"read": READ, "once": ONCE})
 OK = UpstreamResponse(AttemptStatus.OK, b"value")
+MISS_WITH_REPORT = b"*3\r\n$-1\r\n$4\r\nmiss\r\n$7\r\nqueue=7\r\n"
+BUSY_ORIGIN = encode_http_response("503 Service Unavailable", b"", "Not-Started: 1")
 EXCHANGES_UNTIL_ACKNOWLEDGEMENTS_ARE_DELAYED = 4
 
 
@@ -65,6 +68,61 @@
     assert attempts.pool.established_count == 0
 
 
+@pytest.mark.parametrize(
+    ("kind", "response", "status"),
+    [
+        (CacheConnection, MISS_WITH_REPORT, AttemptStatus.MISS),
+        (CacheConnection, b"-BUSY queue=7\r\n", AttemptStatus.REJECTED),
+        (CacheConnection, b"-ERR failed queue=7\r\n", AttemptStatus.ERROR),
+        (OriginConnection, BUSY_ORIGIN, AttemptStatus.REJECTED),
+    ],
+)
+async def test_response_behind_a_copied_miss_is_not_served_to_a_third_request(
+    peer: Peer,
+    attempt_recorders: AttemptRecorders,
+    *,
+    monkeypatch: pytest.MonkeyPatch,
+    kind: type[UpstreamConnection],
+    response: bytes,
+    status: AttemptStatus,
+) -> None:
+    """Review case 6: the second request got the copy, and the third one the value of the second."""
+    monkeypatch.setattr(upstream_connection, "MAX_COPY_DELAY", 60.0)
+    attempts = attempt_recorders.on_pool(ConnectionPool(kind, 8, 1.0, 60.0, 0.0))
+    attempts.start(peer.address)
+    link = await peer.accept_connection()
+    await read_request(link, kind)
+    link.write(response)
+    assert await attempts.outcome() == (status, b"")
+    attempts.start(peer.address, OTHER_GET)
+    await read_request(link, kind)
+    link.write(response)  # the copy of the first response; that to the second request comes later
+    assert await attempts.outcome() == (status, b"")
+    assert await link.closed_by_peer()
+    assert attempts.pool.established_count == 0
+
+
+@pytest.mark.parametrize(("queue", "max_copy_delay"), [(8, 60.0), (7, 0.0)])
+async def test_connection_is_kept_after_misses_that_are_no_copies(
+    peer: Peer,
+    attempt_recorders: AttemptRecorders,
+    monkeypatch: pytest.MonkeyPatch,
+    queue: int,
+    max_copy_delay: float,
+) -> None:
+    """A copy has the report of its response, and comes soon; a cold cache answers many misses in a row."""
+    monkeypatch.setattr(upstream_connection, "MAX_COPY_DELAY", max_copy_delay)
+    attempts = attempt_recorders.on_caches()
+    link = await attempts.start_on(peer)
+    link.write(MISS_WITH_REPORT)
+    assert await attempts.outcome() == (AttemptStatus.MISS, b"")
+    attempts.start(peer.address, OTHER_GET)
+    await link.read_resp()
+    link.write(MISS_WITH_REPORT.replace(b"queue=7", b"queue=%d" % queue))
+    assert await attempts.outcome() == (AttemptStatus.MISS, b"")
+    assert attempts.pool.idle_count == 1
+
+
 @pytest.mark.parametrize(("first", "second"), [(GET, GET), (PUT, OTHER_PUT)])
 async def test_request_whose_response_may_equal_the_last_one_gets_another_connection(
     peer: Peer, attempt_recorders: AttemptRecorders, first: Command, second: Command
