--- a/cache_router/net/cache_connection.py
+++ b/cache_router/net/cache_connection.py
@@ -24,6 +24,8 @@
 class CacheConnection(UpstreamConnection):
     """A connection to a cache server."""
 
+    response_start = b"*3\r\n$"
+
     def __init__(self, owner: ConnectionOwner, address: str, incarnation: object) -> None:
         """Prepare a connection to `address` (`host:port`) that notifies `owner` of its state changes."""
         super().__init__(owner, address, incarnation)
--- a/cache_router/net/completed_exchange.py
+++ b/cache_router/net/completed_exchange.py
@@ -3,7 +3,8 @@
 A server may send a second copy of a response until it reads the next request of the connection. The copy may
 arrive after the router has written that request, in the place of its response, and responses have no request
 ids. But values and receipts are made for one request: a copy is recognized by its value. Where two responses
-could be equal without being copies, the connection is not reused.
+could be equal without being copies, the connection is not reused. A copy that is cut off is completed by the
+next response, and recognized by its first part.
 """
 
 from __future__ import annotations
@@ -14,6 +15,7 @@
 from cache_router.decisions.events import AttemptStatus
 from cache_router.net.command import Command
 from cache_router.net.upstream_attempt import UpstreamResponse
+from cache_router.net.value_fingerprint import ValueFingerprint
 
 
 @dataclass(slots=True, frozen=True)
@@ -24,13 +26,13 @@
     is_write: bool
     status: AttemptStatus
     load_report: bytes
-    value_hash: int  # in place of the value, which may have 64 KiB
+    value: ValueFingerprint
 
     @classmethod
     def of(cls, command: Command, response: UpstreamResponse) -> Self:
         """Return the exchange of a request and its complete response."""
-        value_hash = hash(response.value)
-        return cls(command.key, command.is_write, response.status, response.load_report, value_hash)
+        value = ValueFingerprint.of(response.value)
+        return cls(command.key, command.is_write, response.status, response.load_report, value)
 
     def may_precede(self, command: Command, is_idempotent: bool) -> bool:
         """Return whether a copy of this exchange's response does no harm in the place of that to `command`.
@@ -45,8 +47,19 @@
 
     def is_repeated_by(self, response: UpstreamResponse) -> bool:
         """Return whether a response to a later request has the value of this one: it is a copy of it."""
-        is_ok = self.status is response.status is AttemptStatus.OK
-        return is_ok and self.value_hash == hash(response.value)
+        return self._both_have_values(response) and self.value.matches(response.value)
+
+    def is_cut_off_in(self, response: UpstreamResponse, response_start: bytes) -> bool:
+        """Return whether a response to a later request begins as a copy of this one that is cut off.
+
+        `response_start` is what all responses of the protocol begin with.
+        """
+        if not self._both_have_values(response):
+            return False
+        return self.value.matches_cut_copy(response.value, response_start)
+
+    def _both_have_values(self, response: UpstreamResponse) -> bool:
+        return self.status is AttemptStatus.OK and response.status is AttemptStatus.OK
 
     def may_be_repeated_by(self, response: UpstreamResponse) -> bool:
         """Return whether a response without a value may be a copy of this one.
--- a/cache_router/net/http.py
+++ b/cache_router/net/http.py
@@ -12,6 +12,7 @@
 # Maximum size of an incomplete response head in bytes. A head is the status line and the headers.
 MAX_HEAD_LENGTH = 16 * 1024
 STATUS_LINE_PREFIX = b"HTTP/"
+STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}[ \r]")
 HEAD_END = b"\r\n\r\n"
 # Position of the first digit of the status code in a response head.
 STATUS_CLASS = slice(len("HTTP/1.1 "), len("HTTP/1.1 ") + 1)
@@ -106,6 +107,8 @@
         filtered = b""
         while self._head_pending and (end := self._partial_head.find(HEAD_END)) >= 0:
             end += len(HEAD_END)
+            if STATUS_LINE.search(self._partial_head, 1, end):
+                raise HttpError("response head contains another one")
             filtered += LOAD_REPORT_HEADER.sub(b"", self._partial_head[:end])
             # An informational response such as 100 Continue is followed by another head.
             self._head_pending = self._partial_head[STATUS_CLASS] == INFORMATIONAL_CLASS
--- a/cache_router/net/origin_connection.py
+++ b/cache_router/net/origin_connection.py
@@ -25,6 +25,8 @@
     connection that is reset may have lost a part of the body.
     """
 
+    response_start = b"HTTP/1."
+
     def __init__(self, owner: ConnectionOwner, address: str, incarnation: object) -> None:
         """Prepare a connection to `address` (`host:port`) that notifies `owner` of its state changes."""
         super().__init__(owner, address, incarnation)
--- a/cache_router/net/upstream_connection.py
+++ b/cache_router/net/upstream_connection.py
@@ -10,7 +10,7 @@
 import asyncio
 import logging
 from abc import abstractmethod
-from typing import Protocol, cast
+from typing import ClassVar, Protocol, cast
 
 from cache_router.decisions.events import AttemptStatus
 from cache_router.errors import RouterError
@@ -48,6 +48,7 @@
 class UpstreamConnection(asyncio.Protocol):
     """A connection to one address; subclasses encode requests and decode responses."""
 
+    response_start: ClassVar[bytes]  # what all responses with a value begin with
     _transport: asyncio.Transport
 
     def __init__(self, owner: ConnectionOwner, address: str, incarnation: object) -> None:
@@ -181,14 +182,17 @@
             self._accept_response(attempt, response)
 
     def _accept_response(self, attempt: UpstreamAttempt, response: UpstreamResponse) -> None:
-        """Complete an attempt, unless the response is a copy of that to the previous request."""
+        """Complete an attempt, unless the response is or contains a copy of that to the previous request."""
         if self._is_second_response(response):
             self._fail(attempt, MalformedResponseError("second response to the previous request"))
         else:
             self._complete(attempt, response)
 
     def _is_second_response(self, response: UpstreamResponse) -> bool:
-        return self._last_exchange is not None and self._last_exchange.is_repeated_by(response)
+        last = self._last_exchange
+        if last is None:
+            return False
+        return last.is_repeated_by(response) or last.is_cut_off_in(response, self.response_start)
 
     def _may_be_second_response(self, response: UpstreamResponse) -> bool:
         last = self._last_exchange
--- a/tests/cache_router/net/test_second_responses.py
+++ b/tests/cache_router/net/test_second_responses.py
@@ -68,6 +68,74 @@
     assert attempts.pool.established_count == 0
 
 
+PAGE, OTHER_PAGE = b"page for the first request ", b"page for another request   "
+
+
+@pytest.mark.parametrize("page", [PAGE, 40 * PAGE], ids=["short", "long"])
+@pytest.mark.parametrize("kind", [CacheConnection, OriginConnection])
+async def test_cut_copy_that_the_next_response_completes_is_not_served(
+    peer: Peer, attempt_recorders: AttemptRecorders, kind: type[UpstreamConnection], page: bytes
+) -> None:
+    """Review case 7: the client got a part of another page, and then a part of its own response."""
+    response = encode_value(kind, page)
+    value_start = response.index(page)
+    value_end = value_start + len(page)
+    next_response = encode_value(kind, page.replace(PAGE, OTHER_PAGE))
+    # Of a long page, cuts that leave much or little of the value.
+    cuts = (
+        range(1, len(response))
+        if page == PAGE
+        else [value_start, value_start + 30, *range(value_end - 30, value_end)]
+    )
+    for cut in cuts:
+        attempts = attempt_recorders.on_pool(ConnectionPool(kind, 8, 1.0, 60.0, 0.0))
+        attempts.start(peer.address)
+        link = await peer.accept_connection()
+        await read_request(link, kind)
+        link.write(response)
+        assert await attempts.outcome() == (AttemptStatus.OK, page)
+        attempts.start(peer.address, OTHER_GET)
+        await read_request(link, kind)
+        link.write(response[:cut] + next_response)
+        assert (await attempts.outcome())[1] in (b"", page.replace(PAGE, OTHER_PAGE)), cut
+        link.close()
+        attempts.pool.close()
+
+
+async def test_cut_copy_does_not_change_the_status_of_the_next_response(
+    peer: Peer, attempt_recorders: AttemptRecorders
+) -> None:
+    """The rest of its status line took the next one for its reason, and the body of an error for a value."""
+    attempts = attempt_recorders.on_origin()
+    attempts.start(peer.address)
+    link = await peer.accept_connection()
+    await link.read_http()
+    link.write(encode_http_response("200 OK", b"first"))
+    assert await attempts.outcome() == (AttemptStatus.OK, b"first")
+    attempts.start(peer.address, OTHER_GET)
+    await link.read_http()
+    link.write(b"HTTP/1.1 200 OK" + encode_http_response("500 Internal Server Error", b"failed"))
+    assert await attempts.outcome() == (AttemptStatus.ERROR, b"")
+
+
+@pytest.mark.parametrize(
+    ("kind", "value"),
+    [(CacheConnection, b"about *3\r\n$5\r\n and RESP"), (OriginConnection, b"about HTTP/1.1 200 OK")],
+)
+async def test_value_that_contains_the_start_of_a_response_is_served(
+    peer: Peer, attempt_recorders: AttemptRecorders, kind: type[UpstreamConnection], value: bytes
+) -> None:
+    """Values may hold any bytes, and those of two requests may have the same size."""
+    attempts = attempt_recorders.on_pool(ConnectionPool(kind, 8, 1.0, 60.0, 0.0))
+    attempts.start(peer.address)
+    link = await peer.accept_connection()
+    for command, response in ((OTHER_GET, b"page".ljust(len(value))), (GET, value)):
+        await read_request(link, kind)
+        link.write(encode_value(kind, response))
+        assert await attempts.outcome() == (AttemptStatus.OK, response)
+        attempts.start(peer.address, command)
+
+
 @pytest.mark.parametrize(
     ("kind", "response", "status"),
     [
