Scopes of idempotency are those of the servers when attempts were sent

Traced: an attempt was sent to e in cell 1, a later list said that e is gone and names another cell for it, and the retry went to a, in cell 1. The check compared with the latest entry of a name, which may be another process; it was wrong.

--- a/cache_router/decisions/pending_request.py
+++ b/cache_router/decisions/pending_request.py
@@ -7,6 +7,7 @@
 
 from cache_router.decisions.events import NOT_EXECUTED, AttemptStatus, Request
 from cache_router.decisions.server import Server
+from cache_router.endpoint import Endpoint
 from cache_router.settings import RequestClass
 
 
@@ -19,6 +20,11 @@
     sent_at: float  # seconds on the router's clock
     is_open: bool = True  # False once the attempt has ended
     may_have_executed: bool = True  # False once the status proves that the server did not execute the request
+    endpoint: Endpoint = field(init=False)  # entry of the server when the attempt was sent
+
+    def __post_init__(self) -> None:
+        """Keep the entry of the server: later ones may belong to another process of the same name."""
+        self.endpoint = self.server.endpoint
 
     def complete(self, status: AttemptStatus) -> None:
         """Record the end of the attempt, and whether the server may have executed the request."""
--- a/cache_router/decisions/retry_policy.py
+++ b/cache_router/decisions/retry_policy.py
@@ -46,7 +46,7 @@
         if not self._is_within_window(request_class, executed, now):
             return False
         scope, endpoint = request_class.idempotency_scope, server.endpoint
-        return all(recognises_repeats(scope, attempt.server.endpoint, endpoint) for attempt in executed)
+        return all(recognises_repeats(scope, attempt.endpoint, endpoint) for attempt in executed)
 
     def permits_rejection(self, pending: PendingRequest) -> bool:
         """Return whether a rejection is a safe final answer if the client then sends the request again.
