--- a/cache_router/decisions/slow_start.py
+++ b/cache_router/decisions/slow_start.py
@@ -3,7 +3,8 @@
 Routers share no state. A warming server has a known share of the capacity of a warm one, and no warm server
 returns more responses than it has capacity for. Each router therefore limits its attempts at a warming server
 to the same share of the responses that it gets itself from a warm server. The sum over all routers then stays
-within the capacity of the warming server, however the requests are distributed over the routers.
+within the capacity of the warming server, however the requests are distributed over the routers. While no
+server is warm, the mean rate until the last one left takes the place of the present one.
 """
 
 import math
@@ -24,6 +25,8 @@
         self._settings = settings
         self._random = generator
         self._throughput = WarmThroughput(now, settings.overload_window)
+        # A mean over a longer time, as it stays in force while no server is warm.
+        self._mean_throughput = WarmThroughput(now, settings.slow_start_duration)
         self._caches: Sequence[Server] = ()
         self._total_size = 0.0
         self._warm_size = 0.0
@@ -51,16 +54,30 @@
     def is_quota_exhausted(self, server: Server, now: float) -> bool:
         """Return whether one more attempt would exceed a warming server's quota.
 
-        The quota is derived from the throughput of warm servers. When no cache is warm, no quota applies.
+        The quota is derived from the throughput of warm servers. A router that has had no response from any
+        warm server cannot derive one; it sends without a quota if no server is warm.
         """
-        if not self.is_warming_up(server.endpoint, now) or self._current_warm_size(now) <= 0:
+        if not self.is_warming_up(server.endpoint, now):
+            return False
+        has_warm_server = self._current_warm_size(now) > 0
+        warm_rate = self._warm_rate(has_warm_server, now)
+        if not has_warm_server and warm_rate <= 0:
             return False
         if server.slow_start_quota is None:
             quota = server.grant_slow_start_quota(self._random.random())
         else:
             quota = server.slow_start_quota
-        warm_rate = server.size * self._throughput.rate(now, self._settings.overload_window)
-        return quota.is_exhausted(self._settings, server.endpoint, warm_rate, now)
+        # Without a warm server each request goes to a warming one, and all routers use up their quotas.
+        return quota.is_exhausted(
+            self._settings, server.endpoint, server.size * warm_rate, now, has_tolerance=has_warm_server
+        )
+
+    def _warm_rate(self, has_warm_server: bool, now: float) -> float:
+        """Return the responses per second that this router gets from a warm server, for each unit of size."""
+        window = self._settings.overload_window
+        if has_warm_server:
+            return self._throughput.rate(now, window)
+        return self._mean_throughput.last_rate(window)
 
     def on_attempt_sent(self, server: Server, now: float) -> None:
         """Count an attempt against the server's quota, if it has one."""
@@ -74,6 +91,7 @@
         warm_size = self._current_warm_size(now)
         if warm_size > 0:
             self._throughput.add(now, warm_size)
+            self._mean_throughput.add(now, warm_size)
 
     def _current_warm_size(self, now: float) -> float:
         """Return the sum of the sizes of all warm caches, cached until the next slow start ends."""
--- a/cache_router/decisions/slow_start_quota.py
+++ b/cache_router/decisions/slow_start_quota.py
@@ -51,16 +51,30 @@
         """Count an attempt sent now, and drop those older than the window; `window` is in seconds."""
         self.sent_at = [*(at for at in self.sent_at if now - at < window), now]
 
-    def is_exhausted(self, settings: Settings, endpoint: Endpoint, warm_rate: float, now: float) -> bool:
+    def is_exhausted(
+        self,
+        settings: Settings,
+        endpoint: Endpoint,
+        warm_rate: float,
+        now: float,
+        *,
+        has_tolerance: bool = True,
+    ) -> bool:
         """Return whether one more attempt would exceed the quota.
 
-        `warm_rate` is the number of responses per second that this router gets from a warm server of the same
-        size.
+        Args:
+            settings: The operators' settings.
+            endpoint: Entry of the warming server.
+            warm_rate: Responses per second that this router gets from a warm server of the same size.
+            now: Time in seconds on the router's clock.
+            has_tolerance: Whether the statistical tolerance is added. If all routers use up their quotas,
+                they use up the tolerance of the fleet, too.
         """
-        expected = self._expected_attempts(settings, endpoint, warm_rate, now)
-        tolerance = statistical_tolerance(expected, settings.router_count)
+        quota = self._expected_attempts(settings, endpoint, warm_rate, now)
+        if has_tolerance:
+            quota += statistical_tolerance(quota, settings.router_count)
         used = sum(now - at < settings.overload_window for at in self.sent_at) + self.offset
-        return used > expected + tolerance
+        return used > quota
 
     @staticmethod
     def _expected_attempts(settings: Settings, endpoint: Endpoint, warm_rate: float, now: float) -> float:
--- a/cache_router/decisions/warm_throughput.py
+++ b/cache_router/decisions/warm_throughput.py
@@ -28,5 +28,9 @@
         decay_integral = self.time_constant * -math.expm1(-age / self.time_constant)
         return self._decayed(now) / decay_integral
 
+    def last_rate(self, min_age: float) -> float:
+        """Return the rate at the time of the last response; see `rate`."""
+        return self.rate(self.updated_at, min_age)
+
     def _decayed(self, now: float) -> float:
         return self.response_count * math.exp((self.updated_at - now) / self.time_constant)
--- a/tests/cache_router/decisions/test_slow_start.py
+++ b/tests/cache_router/decisions/test_slow_start.py
@@ -16,6 +16,7 @@
     WARMING_STARTED_AT,
     FailingFleetSimulation,
     FleetSimulation,
+    NoWarmServerSimulation,
 )
 from tests.support.router_inputs import entry
 from tests.support.router_scenarios import primary_servers
@@ -28,6 +29,8 @@
     [
         pytest.param(FleetSimulation, {}, {0.0: ALL_ROUTERS}, id="any key"),
         pytest.param(FleetSimulation, {"hot_share": 0.3}, {0.0: ALL_ROUTERS}, id="hot key"),
+        # Review case 10: the last warm servers drained, and no quota applied.
+        pytest.param(NoWarmServerSimulation, {}, {0.0: ALL_ROUTERS}, id="no warm server is left"),
         pytest.param(
             FailingFleetSimulation,
             {"hot_share": 0.3},
--- a/tests/support/fleet_simulation.py
+++ b/tests/support/fleet_simulation.py
@@ -192,3 +192,14 @@
         if draw < 0.3:
             return AttemptStatus.TIMEOUT, TIMEOUT_LATENCY
         return SUCCESSFUL_COMPLETION
+
+
+class NoWarmServerSimulation(FleetSimulation):
+    """Removes all other caches when the warming one starts, which then gets the requests of all of them."""
+
+    def endpoint_update(self, now: float) -> EndpointUpdate:
+        """Return a complete endpoint list at time `now`: the other caches, then the warming one alone."""
+        if now < WARMING_STARTED_AT:
+            return super().endpoint_update(now)
+        warming = entry("warming", started_at=WARMING_STARTED_AT)
+        return EndpointUpdate(EndpointUpdateKind.SNAPSHOT, (warming,))
