--- a/tests/cache_router/decisions/test_retry_policy.py
+++ b/tests/cache_router/decisions/test_retry_policy.py
@@ -4,16 +4,20 @@
 
 import pytest
 
-from cache_router.decisions.events import AttemptStatus
+from cache_router.decisions.events import AttemptStatus, Request
+from cache_router.decisions.pending_request import Attempt, PendingRequest
 from cache_router.decisions.retry_policy import (
     CHEAP_FAILURES,
     FREE_RETRY_SUCCESS_RATE,
     MAX_SAVED_RETRIES,
     RETRIES_PER_REQUEST,
     RetryBudget,
+    RetryPolicy,
 )
+from cache_router.decisions.server import Server
 from cache_router.settings import Idempotency, IdempotencyScope, RequestClass
 from tests.support.driver import DriverFactory
+from tests.support.router_inputs import entry, settings
 from tests.support.router_rules import Outcome
 from tests.support.router_scenarios import fleet, single_zone_fleet
 
@@ -65,6 +69,18 @@
         assert driver.outcome("r") is Outcome.FAILED
 
 
+def test_idempotency_scope_is_that_of_the_server_when_the_attempt_was_sent() -> None:
+    """A later list may have another zone for its name: the retry was executed where its key is not known."""
+    with_key = RequestClass("keyed", 2.0, Idempotency.WITH_KEY, IdempotencyScope.ZONE, idempotency_window=1.5)
+    policy = RetryPolicy(settings(classes={"keyed": with_key}))
+    first = Server(entry("a", zone="x"), is_cache=True)
+    pending = PendingRequest(Request("r", "keyed", 1.0), with_key, deadline=1.0, to_origin=False)
+    pending.add_attempt(Attempt(first, target_latency=1.0, sent_at=0.0))
+    first.update_endpoint(entry("a", zone="y"))
+    assert policy.permits_attempt(pending, Server(entry("b", zone="x"), is_cache=True), now=0.1)
+    assert not policy.permits_attempt(pending, Server(entry("c", zone="y"), is_cache=True), now=0.1)
+
+
 @pytest.mark.parametrize(
     ("tokens", "is_taken", "left"), [(2.5, True, 1.5), (1.0, True, 0.0), (0.9, False, 0.0)]
 )
