Typed batches and incarnations; a reply changes its own reservation

Cause: a tuple of time and messages, a tuple as the identity of a process, state of a reply written by its queue, and wording. Change: Batch, Incarnation and PipelinedReply.reserve; no behaviour changes.

--- a/cache_router/net/endpoint_table.py
+++ b/cache_router/net/endpoint_table.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from cache_router.decisions.events import EndpointUpdateKind
 from cache_router.endpoint import Endpoint, EndpointState
@@ -15,6 +16,13 @@
     """An endpoint update could not be applied because of a fault of this program."""
 
 
+class Incarnation(NamedTuple):
+    """Identity of one process; it differs for another process at the address, and after a restart."""
+
+    name: str
+    started_at: float  # as in `Endpoint.started_at`
+
+
 @dataclass(slots=True, frozen=True)
 class NetworkEndpoint:
     """An entry of the endpoint list, and the `host:port` at which the endpoint is reached."""
@@ -23,9 +31,9 @@
     address: str
 
     @property
-    def incarnation(self) -> tuple[str, float]:
-        """Identity of one process; it differs for another process at the address, and after a restart."""
-        return self.entry.name, self.entry.started_at
+    def incarnation(self) -> Incarnation:
+        """The process that the entry names."""
+        return Incarnation(self.entry.name, self.entry.started_at)
 
 
 class EndpointTable:
--- a/cache_router/net/eviction.py
+++ b/cache_router/net/eviction.py
@@ -16,7 +16,7 @@
 SINGLE_COMMAND_IDLE_TIMEOUT = 0.1
 # seconds between checks for overdue connections
 OVERDUE_CHECK_INTERVAL = 0.1
-MAX_UNSENT_BYTES = 48 * 1024 * 1024  # bytes of replies that clients have not read, in all
+MAX_UNSENT_BYTES = 48 * 1024 * 1024  # bytes of replies that clients have not read, on all connections
 INCOMPLETE_COMMAND_REPLY = "-ERR no whole command came"
 log = logging.getLogger(__name__)
 
@@ -102,7 +102,7 @@
                 connection.abort()
 
     def _evict_largest_unsent_replies(self) -> None:
-        """Evict the connections whose clients leave most unread, down to MAX_UNSENT_BYTES in all."""
+        """Evict the connections whose clients leave most unread, down to MAX_UNSENT_BYTES together."""
         unsent = {c: size for c in self._connections if (size := c.unsent_size())}
         excess = sum(unsent.values()) - MAX_UNSENT_BYTES
         while excess > 0:
--- a/cache_router/net/pipelined_replies.py
+++ b/cache_router/net/pipelined_replies.py
@@ -29,6 +29,12 @@
         """Set the bytes of the reply."""
         self.data = data
 
+    def reserve(self, size: int, memory: ReplyMemory) -> None:
+        """Change the memory that is reserved for the reply, in bytes."""
+        if size != self.reserved_bytes:
+            memory.change(self.reserved_bytes, size)
+            self.reserved_bytes = size
+
 
 class ReplyQueue:
     """Replies that have not been written; one that is complete waits for those ahead of it.
@@ -55,7 +61,7 @@
         """Add the reply to the next command."""
         reply = PipelinedReply()
         if self._replies:
-            self._reserve(reply, MAX_REPLY_SIZE)
+            reply.reserve(MAX_REPLY_SIZE, self._memory)
         self._replies.append(reply)
         return reply
 
@@ -63,12 +69,12 @@
         """Complete a reply; it may be written once those ahead of it are complete."""
         reply.complete(data)
         if reply.reserved_bytes:
-            self._reserve(reply, len(data))
+            reply.reserve(len(data), self._memory)
         while self._replies and (complete := self._replies[0].data) is not None:
-            self._reserve(self._replies.popleft(), 0)
+            self._replies.popleft().reserve(0, self._memory)
             self._complete.append(complete)
         if self._replies:
-            self._reserve(self._replies[0], 0)
+            self._replies[0].reserve(0, self._memory)
 
     def take_complete(self) -> bytes:
         """Return the replies that may be written, and remove them."""
@@ -80,12 +86,7 @@
         """Discard all replies; return the ids of the requests whose replies are pending."""
         pending = [reply.request_id for reply in self._replies if reply.data is None]
         for reply in self._replies:
-            self._reserve(reply, 0)
+            reply.reserve(0, self._memory)
         self._replies.clear()
         self._complete.clear()
         return (request_id for request_id in pending if request_id is not None)
-
-    def _reserve(self, reply: PipelinedReply, size: int) -> None:
-        """Change the memory that is reserved for a reply."""
-        self._memory.change(reply.reserved_bytes, size)
-        reply.reserved_bytes = size
--- a/cache_router/net/reply_memory.py
+++ b/cache_router/net/reply_memory.py
@@ -21,7 +21,7 @@
         self._reserved = 0  # bytes
 
     def has_room(self) -> bool:
-        """Return whether memory is left for one more reply, however large it will be."""
+        """Return whether memory is left for one more reply of any size."""
         return self._reserved + MAX_REPLY_SIZE <= MAX_PIPELINED_REPLY_BYTES
 
     def change(self, reserved_before: int, reserved: int) -> None:
--- a/cache_router/net/resp.py
+++ b/cache_router/net/resp.py
@@ -118,7 +118,7 @@
         return message
 
     def _check_size(self, size: int) -> None:
-        """Raise `RespError` if a message is too long, also one of many lines, none of which is."""
+        """Raise `RespError` if a message is too long, even if each of its lines is short."""
         if size > self._max_message:
             raise RespError("message is too long")
 
--- a/cache_router/simulator_adapter.py
+++ b/cache_router/simulator_adapter.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import sys
+from dataclasses import dataclass
 from typing import Any
 
 import orjson
@@ -36,6 +37,14 @@
     """Malformed line from the simulator; `where` is "batch" for the whole line, "event" for one event."""
 
 
+@dataclass(slots=True, frozen=True)
+class Batch:
+    """The events of one point in time."""
+
+    time: float  # seconds on the simulator's clock
+    messages: list[Any]  # not validated; each is later read as a `simulator_messages.Message`
+
+
 class SimulatorAdapter:
     """Runs one router per `routerId`; the routers share nothing."""
 
@@ -49,10 +58,10 @@
         Raises:
             WireError: the line or an event in it is malformed.
         """
-        now, messages = _read_batch(line)
+        batch = _read_batch(line)
         commands: list[Command] = []
-        for message in messages:
-            self._handle_message(now, message, commands)
+        for message in batch.messages:
+            self._handle_message(batch.time, message, commands)
         return orjson.dumps({"cmds": commands}) + b"\n"
 
     def _handle_message(self, now: float, message: Any, commands: list[Command]) -> None:
@@ -99,10 +108,8 @@
         self.routers[message["routerId"]] = Router(read_settings(message["conf"]), message["initSeed"], now)
 
 
-def _read_batch(line: bytes) -> tuple[float, list[Any]]:
-    """Decode a line into the time, in seconds on the simulator's clock, and the messages.
-
-    The messages are not validated; each is later read as a `simulator_messages.Message`.
+def _read_batch(line: bytes) -> Batch:
+    """Decode a line.
 
     Raises:
         WireError: the line is not a JSON object with a time and a list of messages.
@@ -114,7 +121,7 @@
             raise TypeError("news is not a list")
     except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as error:
         raise WireError(f"malformed batch: {error!r}", where="batch") from error
-    return now, messages
+    return Batch(now, messages)
 
 
 def main() -> int:
