Soak: idle connections of stand-ins are closed when the load ends, on every Python 3.11

The stand-in closed its 120 idle connections only when a read ended, not when it was cancelled; newer versions of StreamWriter close them when they are collected. Change: the connection is aborted in a finally clause. The check and its bound are unchanged.

--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -189,12 +189,12 @@
 
     async def hold_connection() -> None:
         while True:
-            writer = None
             with suppress(OSError):
                 reader, writer = await asyncio.open_connection(*address)
-                await reader.read()
-            if writer is not None:
-                writer.transport.abort()
+                try:
+                    await reader.read()
+                finally:
+                    writer.transport.abort()
             await asyncio.sleep(0.3)
 
     await asyncio.gather(*(hold_connection() for _ in range(count)))
